Serve the thin whole path over real processes

Ruled out: another border protocol.

Change: slices for timers, settings, telemetry, upstreams, groups, requests, sessions, reads, writes and callers; stand-in instances over sockets and in memory under virtual time; formatter, linter, types, import contracts, tests.

Before: nothing.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,27 @@
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+
+.PHONY: venv check test demo lint
+
+venv: $(VENV)/.installed
+
+$(VENV)/.installed: requirements.txt requirements-dev.txt pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install -q -r requirements-dev.txt
+	$(BIN)/pip install -q --no-deps -e .
+	touch $@
+
+lint: venv
+	$(BIN)/ruff format --check src
+	$(BIN)/ruff check src
+	$(BIN)/mypy
+	$(BIN)/lint-imports
+
+test: venv
+	$(BIN)/pytest -n 4
+
+check: lint test
+
+demo: venv
+	$(BIN)/heatherpier bench demo $(ARGS)
--- /dev/null
+++ b/src/heatherpier/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the command line as ``python -m heatherpier``."""
+
+from heatherpier._cli import main
+
+main()
--- /dev/null
+++ b/src/heatherpier/bench/_deployment.py
@@ -0,0 +1,75 @@
+"""The deployments that the bench runs, from one small description."""
+
+import hashlib
+from dataclasses import dataclass
+from typing import Any
+
+DEMO_PASSWORD = "demo"
+DEMO_TOKEN_KEY = "00112233445566778899aabbccddeeff"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Deployment:
+    """Sizes and places of one user's deployment.
+
+    Attributes:
+        name: Name of the deployment.
+        service: Name of its service.
+        user: User name of its callers.
+        data_centres: Its data centres; each holds one instance of each group.
+        groups: Count of database groups.
+        connections: Connections that an instance accepts.
+        slots: Statements that an instance runs at once.
+        lag_ms: Replication delay in milliseconds.
+    """
+
+    name: str
+    service: str
+    user: str
+    data_centres: tuple[str, ...]
+    groups: int = 3
+    connections: int = 20
+    slots: int = 3
+    lag_ms: int = 50
+
+    def group_names(self) -> list[str]:
+        """Returns the names of the database groups."""
+        return [f"{self.service}-{number + 1}" for number in range(self.groups)]
+
+    def database(self, group: str) -> str:
+        """Returns the schema by which callers choose ``group``."""
+        return group.replace("-", "_")
+
+    def instances(self, group: str, *, ports: list[int]) -> list[dict[str, Any]]:
+        """Returns the instances of ``group`` as the document lists them."""
+        return [
+            {
+                "name": f"{group}-{place}",
+                "host": "127.0.0.1",
+                "port": port,
+                "data_centre": place,
+            }
+            for place, port in zip(self.data_centres, ports, strict=True)
+        ]
+
+
+SEN_VANG = Deployment(
+    name="sen-vang",
+    service="assist-core",
+    user="dispatch",
+    data_centres=("north-a", "central-a", "south-a"),
+)
+LANTERN_LEDGER = Deployment(
+    name="lantern-ledger",
+    service="claims-ledger",
+    user="ledger",
+    data_centres=("taipei-a", "taichung-a", "kaohsiung-a"),
+    connections=40,
+)
+DEPLOYMENTS = {item.name: item for item in (SEN_VANG, LANTERN_LEDGER)}
+
+
+def hash_password(password: str) -> str:
+    """Returns the hash that the document keeps of a caller's password."""
+    # The MySQL protocol fixes this double hash.
+    return hashlib.sha1(hashlib.sha1(password.encode()).digest()).hexdigest()
--- /dev/null
+++ b/src/heatherpier/bench/_dialog.py
@@ -0,0 +1,192 @@
+"""One connection to a stand-in instance: statements in, results out."""
+
+import re
+
+from heatherpier.bench._instance import Instance
+from heatherpier.groups import InstanceStatus, LogPosition
+from heatherpier.upstreams import Column, Result, StatementError
+
+CALL = re.compile(r"CALL\s+group_(\w+)\s*\((.*)\)\s*;?$", re.IGNORECASE | re.DOTALL)
+READ_WORDS = frozenset({"SELECT", "WITH", "SHOW", "EXPLAIN", "VALUES"})
+UNKNOWN_PROCEDURE = 1305
+VAR_STRING = 253
+LONGLONG = 8
+
+STATUS_COLUMNS = (
+    Column(name="instance", type_code=VAR_STRING),
+    Column(name="role", type_code=VAR_STRING),
+    Column(name="adopted_term", type_code=LONGLONG),
+    Column(name="proposer", type_code=VAR_STRING),
+    Column(name="primary", type_code=VAR_STRING),
+    Column(name="term", type_code=LONGLONG),
+    Column(name="index", type_code=LONGLONG),
+    Column(name="age_ms", type_code=LONGLONG),
+    Column(name="contact_ms", type_code=LONGLONG),
+)
+
+
+class Dialog:
+    """The state of one connection: its transaction and its last commit."""
+
+    def __init__(self, instance: Instance) -> None:
+        self._instance = instance
+        self._term: int | None = None
+        self._statements: list[str] = []
+        self._explicit = False
+        self._autocommit = True
+        self._last_commit = LogPosition(0, 0)
+
+    @property
+    def in_transaction(self) -> bool:
+        """Whether a transaction is open."""
+        return self._explicit or self._term is not None
+
+    @property
+    def autocommit(self) -> bool:
+        """Whether a statement outside a transaction commits by itself."""
+        return self._autocommit
+
+    async def execute(self, sql: str) -> Result:
+        """Runs one statement.
+
+        Raises:
+            StatementError: It was refused and had no effect.
+        """
+        await self._instance.until_resumed()
+        if self._instance.faults.slow_ms:
+            await self._instance.timers.sleep(self._instance.faults.slow_ms / 1000)
+        word = sql.split(None, 1)[0].upper().rstrip(";") if sql.strip() else ""
+        match word:
+            case "CALL":
+                return await self._call(sql)
+            case "BEGIN" | "START":
+                self._explicit = True
+                return Result()
+            case "COMMIT":
+                return self._commit()
+            case "ROLLBACK":
+                self.rollback()
+                return Result()
+            case "SET":
+                return self._set(sql)
+        async with self._instance.slots:
+            if word in READ_WORDS:
+                held = self._term is not None
+                return self._instance.engine.read(sql, in_transaction=held)
+            return await self._write(sql)
+
+    def rollback(self) -> None:
+        """Undoes the open transaction, if any."""
+        if self._term is not None:
+            self._instance.engine.rollback()
+            self._instance.unlock_writer()
+        self._forget()
+
+    def _forget(self) -> None:
+        self._term = None
+        self._statements = []
+        self._explicit = False
+
+    def _set(self, sql: str) -> Result:
+        found = re.search(r"autocommit\s*=\s*(\w+)", sql, re.IGNORECASE)
+        if found:
+            self._autocommit = found[1].upper() in ("1", "ON", "TRUE")
+        return Result()
+
+    async def _write(self, sql: str) -> Result:
+        if self._term is None:
+            await self._open_write()
+        try:
+            self._instance.require_primary(self._term)
+            result = self._instance.engine.write(sql)
+        except StatementError:
+            if not self._explicit and self._autocommit:
+                self.rollback()
+            raise
+        self._statements.append(sql)
+        if not self._explicit and self._autocommit:
+            self._commit()
+        return result
+
+    async def _open_write(self) -> None:
+        self._instance.require_primary()
+        await self._instance.lock_writer()
+        try:
+            self._term = self._instance.require_primary()
+        except StatementError:
+            self._instance.unlock_writer()
+            raise
+        self._instance.engine.begin()
+
+    def _commit(self) -> Result:
+        if self._term is None:
+            self._forget()
+            return Result()
+        try:
+            self._instance.require_primary(self._term)
+        except StatementError:
+            self.rollback()
+            raise
+        self._last_commit = self._instance.commit(tuple(self._statements))
+        self._instance.unlock_writer()
+        self._forget()
+        return Result()
+
+    async def _call(self, sql: str) -> Result:
+        found = CALL.match(sql.strip())
+        name = found[1].lower() if found else ""
+        arguments = _arguments(found[2]) if found else []
+        instance = self._instance
+        match name, arguments:
+            case "status", []:
+                pass
+            case "adopt_term", [term, proposer]:
+                instance.adopt(int(term), proposer)
+            case "promote", [term, proposer]:
+                instance.promote(int(term), proposer)
+            case "follow", [term, primary]:
+                instance.follow(int(term), primary)
+            case "wait", [term, index, timeout_ms]:
+                position = LogPosition(int(term), int(index))
+                await instance.wait_for(position, timeout_s=int(timeout_ms) / 1000)
+            case "last_commit", []:
+                return _row(term=self._last_commit.term, index=self._last_commit.index)
+            case "fetch", [term, after_term, after_index]:
+                after = LogPosition(int(after_term), int(after_index))
+                fetched = await instance.serve_fetch(int(term), after)
+                found_after, body, at_end = fetched.rows[0]
+                return _row(found=found_after, entries=body, at_end=at_end)
+            case _:
+                raise StatementError(
+                    code=UNKNOWN_PROCEDURE,
+                    sqlstate="42000",
+                    message=f"no procedure for {sql[:80]!r}",
+                )
+        return _status_result(instance.status())
+
+
+def _arguments(text: str) -> list[str]:
+    return [part.strip().strip("'") for part in text.split(",") if part.strip()]
+
+
+def _row(**values: int | str) -> Result:
+    columns = tuple(
+        Column(name=name, type_code=LONGLONG if isinstance(value, int) else VAR_STRING)
+        for name, value in values.items()
+    )
+    return Result(columns=columns, rows=(tuple(values.values()),))
+
+
+def _status_result(status: InstanceStatus) -> Result:
+    row = (
+        status.instance,
+        status.role.value,
+        status.adopted_term,
+        status.proposer,
+        status.primary,
+        status.position.term,
+        status.position.index,
+        status.age_ms,
+        status.contact_ms,
+    )
+    return Result(columns=STATUS_COLUMNS, rows=(row,))
--- /dev/null
+++ b/src/heatherpier/bench/_fleet.py
@@ -0,0 +1,131 @@
+"""A whole deployment as real processes: instances, then proxies."""
+
+import json
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from heatherpier.bench._deployment import (
+    DEMO_PASSWORD,
+    DEMO_TOKEN_KEY,
+    Deployment,
+    hash_password,
+)
+from heatherpier.bench._processes import Process, Processes, free_ports
+
+
+@dataclass(slots=True)
+class Fleet:
+    """The running processes of one deployment.
+
+    Attributes:
+        deployment: What was started.
+        processes: All processes by name.
+        instances: Names of instance processes by group.
+        proxies: The proxies.
+    """
+
+    deployment: Deployment
+    processes: Processes
+    instances: dict[str, list[Process]] = field(default_factory=dict)
+    proxies: list[Process] = field(default_factory=list)
+
+
+async def start_fleet(
+    deployment: Deployment,
+    *,
+    processes: Processes,
+    directory: Path,
+    proxies: int,
+) -> Fleet:
+    """Starts all instances and proxies and returns them listening.
+
+    Args:
+        deployment: Sizes and places.
+        processes: Where started processes are kept.
+        directory: Where the document is written.
+        proxies: Count of proxies, spread over the data centres.
+    """
+    fleet = Fleet(deployment=deployment, processes=processes)
+    groups = []
+    for group in deployment.group_names():
+        ports = free_ports(len(deployment.data_centres))
+        models = deployment.instances(group, ports=ports)
+        groups.append(
+            {
+                "name": group,
+                "database": deployment.database(group),
+                "instances": models,
+            }
+        )
+        fleet.instances[group] = [
+            await _start_instance(fleet, models, place) for place in range(len(models))
+        ]
+    document = directory / "document.json"
+    document.write_text(json.dumps(_document(deployment, groups)), encoding="utf-8")
+    for number, port in enumerate(free_ports(proxies)):
+        fleet.proxies.append(
+            await _start_proxy(fleet, number, port, document=document, count=proxies)
+        )
+    return fleet
+
+
+async def _start_instance(
+    fleet: Fleet, models: list[dict[str, Any]], place: int
+) -> Process:
+    deployment = fleet.deployment
+    model = models[place]
+    return await fleet.processes.start(
+        model["name"],
+        command=["bench", "instance"],
+        settings={
+            "name": model["name"],
+            "instances": models,
+            "first_primary": models[0]["name"],
+            "slots": deployment.slots,
+            "connections": deployment.connections,
+            "lag_ms": deployment.lag_ms,
+        },
+        port=model["port"],
+    )
+
+
+async def _start_proxy(
+    fleet: Fleet, number: int, port: int, *, document: Path, count: int
+) -> Process:
+    deployment = fleet.deployment
+    name = f"proxy-{number + 1}"
+    places = deployment.data_centres
+    return await fleet.processes.start(
+        name,
+        command=["proxy"],
+        settings={
+            "name": name,
+            "deployment": deployment.name,
+            "data_centre": places[number % len(places)],
+            "port": port,
+            "proxies": count,
+            "token_keys": [DEMO_TOKEN_KEY],
+            "document": str(document),
+        },
+        port=port,
+    )
+
+
+def _document(deployment: Deployment, groups: list[dict[str, Any]]) -> dict[str, Any]:
+    return {
+        "services": [
+            {
+                "name": deployment.service,
+                "groups": groups,
+                "slots": deployment.slots,
+                "connections": deployment.connections,
+                "users": [
+                    {
+                        "name": deployment.user,
+                        "password_hash": hash_password(DEMO_PASSWORD),
+                    }
+                ],
+            }
+        ]
+    }
--- /dev/null
+++ b/src/heatherpier/settings/__init__.py
@@ -0,0 +1,27 @@
+"""Validated settings of a process and the validated configuration document."""
+
+from heatherpier.settings._base import StrictModel
+from heatherpier.settings._document import (
+    Document,
+    GroupModel,
+    InstanceModel,
+    ServiceModel,
+    UserModel,
+)
+from heatherpier.settings._errors import InvalidSettingsError
+from heatherpier.settings._load import load_document, load_model, load_settings
+from heatherpier.settings._process import ProxySettings
+
+__all__ = [
+    "Document",
+    "GroupModel",
+    "InstanceModel",
+    "InvalidSettingsError",
+    "ProxySettings",
+    "ServiceModel",
+    "StrictModel",
+    "UserModel",
+    "load_document",
+    "load_model",
+    "load_settings",
+]
--- /dev/null
+++ b/src/heatherpier/telemetry/_logs.py
@@ -0,0 +1,49 @@
+"""Log records as JSON lines."""
+
+import sys
+from typing import Any, TextIO
+
+import logbook
+import msgspec
+
+
+def get_logger(name: str) -> logbook.Logger:
+    """Returns the logger of one slice."""
+    return logbook.Logger(name)
+
+
+class JsonHandler(logbook.Handler):
+    """Writes each record as one JSON object on a line.
+
+    Args:
+        stream: Where lines go. Defaults to standard error.
+        level: Least level that is written, such as ``"INFO"``.
+        fields: Constant fields of every line, such as the proxy's name.
+    """
+
+    def __init__(
+        self,
+        *,
+        stream: TextIO | None = None,
+        level: str = "INFO",
+        fields: dict[str, str] | None = None,
+    ) -> None:
+        super().__init__(level=logbook.lookup_level(level))
+        self._stream = stream or sys.stderr
+        self._fields = fields or {}
+        self._encoder = msgspec.json.Encoder(enc_hook=str)
+
+    def emit(self, record: logbook.LogRecord) -> None:
+        """Writes ``record``."""
+        line: dict[str, Any] = {
+            "time": record.time.isoformat(timespec="milliseconds"),
+            "level": record.level_name,
+            "logger": record.channel,
+            "message": record.message,
+            **self._fields,
+            **(record.kwargs or {}),
+        }
+        if record.exc_info:
+            line["exception"] = record.formatted_exception
+        self._stream.write(self._encoder.encode(line).decode() + "\n")
+        self._stream.flush()
--- /dev/null
+++ b/src/heatherpier/timers/__init__.py
@@ -0,0 +1,6 @@
+"""Time as a service that other slices subscribe to."""
+
+from heatherpier.timers._service import LoopTimers, Timers
+from heatherpier.timers._virtual import VirtualTimeLoop
+
+__all__ = ["LoopTimers", "Timers", "VirtualTimeLoop"]
--- /dev/null
+++ b/src/heatherpier/upstreams/__init__.py
@@ -0,0 +1,36 @@
+"""Connections to the instances of database groups."""
+
+from heatherpier.upstreams._errors import (
+    AnswerTimeoutError,
+    ConnectError,
+    ConnectionLostError,
+    StatementError,
+    TooManyConnectionsError,
+    UpstreamError,
+)
+from heatherpier.upstreams._interface import (
+    Column,
+    Connection,
+    Connector,
+    Instance,
+    Result,
+)
+from heatherpier.upstreams._mysql import MysqlConnector
+from heatherpier.upstreams._pool import Pool, PooledConnection
+
+__all__ = [
+    "AnswerTimeoutError",
+    "Column",
+    "ConnectError",
+    "Connection",
+    "ConnectionLostError",
+    "Connector",
+    "Instance",
+    "MysqlConnector",
+    "Pool",
+    "PooledConnection",
+    "Result",
+    "StatementError",
+    "TooManyConnectionsError",
+    "UpstreamError",
+]
--- /dev/null
+++ b/src/heatherpier/upstreams/_mysql.py
@@ -0,0 +1,134 @@
+"""Connections over the MySQL protocol by ``asyncmy``."""
+
+import asyncio
+import socket
+from typing import Any
+
+import asyncmy
+from asyncmy import errors as driver_errors
+
+from heatherpier.upstreams._errors import (
+    ConnectError,
+    ConnectionLostError,
+    StatementError,
+    TooManyConnectionsError,
+)
+from heatherpier.upstreams._interface import Column, Connection, Instance, Result
+
+CONNECT_TIMEOUT_S = 2
+# Unacknowledged data older than this closes the socket, so a path that went
+# silent is noticed by the kernel too.
+TCP_USER_TIMEOUT_MS = 5000
+
+TOO_MANY_CONNECTIONS = 1040
+# Error numbers from here to the end are made by the driver, not by the instance.
+FIRST_CLIENT_ERROR = 2000
+LAST_CLIENT_ERROR = 2999
+
+
+class MysqlConnector:
+    """Opens MySQL connections as one user.
+
+    Args:
+        user: User name at the instances.
+        password: The user's password.
+        program_name: Sent as a connection attribute, shown in process lists.
+    """
+
+    def __init__(self, *, user: str, password: str, program_name: str) -> None:
+        self._user = user
+        self._password = password
+        self._program_name = program_name
+
+    async def connect(self, instance: Instance) -> Connection:
+        """Opens a connection in autocommit mode.
+
+        Raises:
+            ConnectError: Nothing answers at the address, or it refused.
+            TooManyConnectionsError: The instance's limit is reached.
+        """
+        sock = await _open_socket(instance)
+        try:
+            conn = await asyncmy.connect(
+                sock=sock,
+                user=self._user,
+                password=self._password,
+                database=instance.database or None,
+                autocommit=None,
+                connect_timeout=CONNECT_TIMEOUT_S,
+                program_name=self._program_name,
+            )
+        except asyncio.CancelledError:
+            sock.close()
+            raise
+        except (OSError, driver_errors.MySQLError, EOFError) as exc:
+            sock.close()
+            if exc.args and exc.args[0] == TOO_MANY_CONNECTIONS:
+                raise TooManyConnectionsError(f"{instance.name}: {exc}") from exc
+            raise ConnectError(f"{instance.name}: {exc}") from exc
+        return _MysqlConnection(conn, name=instance.name)
+
+
+async def _open_socket(instance: Instance) -> socket.socket:
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setblocking(False)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
+    address = (instance.host, instance.port)
+    try:
+        await asyncio.get_running_loop().sock_connect(sock, address)
+    except OSError as exc:
+        sock.close()
+        raise ConnectError(f"{instance.name} at {address}: {exc.strerror}") from exc
+    except asyncio.CancelledError:
+        sock.close()
+        raise
+    return sock
+
+
+class _MysqlConnection:
+    """One ``asyncmy`` connection."""
+
+    def __init__(self, conn: Any, *, name: str) -> None:
+        self._conn = conn
+        self._name = name
+
+    async def execute(self, sql: str) -> Result:
+        try:
+            async with self._conn.cursor() as cursor:
+                await cursor.execute(sql)
+                return _read_result(cursor, rows=await cursor.fetchall())
+        except asyncio.CancelledError:
+            # A late answer must not reach the next statement.
+            self.abort()
+            raise
+        except (OSError, EOFError, AttributeError) as exc:
+            self.abort()
+            raise ConnectionLostError(f"{self._name}: {exc}") from exc
+        except driver_errors.MySQLError as exc:
+            raise self._convert(exc) from exc
+
+    def _convert(self, exc: Any) -> ConnectionLostError | StatementError:
+        code = exc.args[0] if exc.args and isinstance(exc.args[0], int) else 0
+        from_driver = code == 0 or FIRST_CLIENT_ERROR <= code <= LAST_CLIENT_ERROR
+        if from_driver or not self._conn.connected:
+            self.abort()
+            return ConnectionLostError(f"{self._name}: {exc}")
+        return StatementError(
+            code=code, sqlstate=exc.sqlstate or "HY000", message=str(exc.args[1])
+        )
+
+    def abort(self) -> None:
+        self._conn.close()
+
+
+def _read_result(cursor: Any, *, rows: Any) -> Result:
+    if cursor.description is None:
+        return Result(
+            affected_rows=max(cursor.rowcount, 0),
+            last_insert_id=cursor.lastrowid or 0,
+        )
+    columns = tuple(
+        Column(name=item[0], type_code=item[1]) for item in cursor.description
+    )
+    return Result(columns=columns, rows=tuple(rows))
--- /dev/null
+++ b/src/heatherpier/writes/__init__.py
@@ -0,0 +1,5 @@
+"""Writes that run at most once and are acknowledged by a majority."""
+
+from heatherpier.writes._writer import Writer
+
+__all__ = ["Writer"]
