--- a/src/heatherpier/conftest.py
+++ b/src/heatherpier/conftest.py
@@ -8,7 +8,6 @@
 from heatherpier.bench import start_memory_group
 from heatherpier.timers import LoopTimers, VirtualTimeLoop
 
-
 KNOWN_RED = Path(__file__).parents[2] / "KNOWN-RED.txt"
 
 
