Keep a fenced stand-in instance's log consistent

Cause: a fenced primary could answer a fetch of its old term with entries that it got later; replicated entries were applied inside a transaction of the old term and lost with it; a lagging replica claimed no contact with its primary. Change: check the term again after the wait, undo the open transaction when a term is adopted, serve the frozen log of a fenced primary to replicas that are still in its term (needed for a planned change), keep contact while entries wait for the set lag, end a wait at once when the instance is fenced past it. Ruled out: claiming full freshness from a fenced primary (at_end is 0 then).

--- a/src/heatherpier/bench/_engine.py
+++ b/src/heatherpier/bench/_engine.py
@@ -64,8 +64,9 @@
             _run(self._committed, sql)
 
     def rollback(self) -> None:
-        """Undoes the writing transaction."""
-        self._working.execute("ROLLBACK")
+        """Undoes the writing transaction, if one is open."""
+        if self._working.in_transaction:
+            self._working.execute("ROLLBACK")
 
     def apply(self, entry: LogEntry) -> None:
         """Applies a replicated transaction."""
--- a/src/heatherpier/bench/_instance.py
+++ b/src/heatherpier/bench/_instance.py
@@ -9,6 +9,7 @@
 from heatherpier.groups import InstanceStatus, LogPosition, Role
 from heatherpier.timers import Timers
 from heatherpier.upstreams import (
+    Connection,
     Connector,
     Result,
     StatementError,
@@ -84,6 +85,7 @@
         self.adopted_term = 0
         self.proposer = ""
         self.primary = ""
+        self._led_term = 0
         self._peers = {peer.name: peer for peer in peers}
         self._connector = connector
         self._writer = asyncio.Lock()
@@ -123,10 +125,10 @@
         return int((self.timers.now() - moment) * 1000)
 
     async def wait_for(self, position: LogPosition, *, timeout_s: float) -> None:
-        """Returns when ``position`` is applied or the time is over."""
+        """Returns when ``position`` is applied, fenced off, or the time is over."""
         try:
             async with self.timers.timeout(timeout_s):
-                while self.position < position:
+                while self.position < position and self.adopted_term <= position.term:
                     await self._grew.wait()
         except TimeoutError:
             return
@@ -151,11 +153,17 @@
         """Adopts ``term`` for ``proposer`` if it is higher than any before."""
         if term <= self.adopted_term:
             return
+        self._enter_term(term, proposer)
+        self._announce()
+
+    def _enter_term(self, term: int, proposer: str) -> None:
         self.adopted_term = term
         self.proposer = proposer
         self.role = Role.REPLICA
         self.primary = ""
-        self._announce()
+        # A transaction of the old term can't commit; replicated entries must not
+        # be applied inside it.
+        self.engine.rollback()
 
     def promote(self, term: int, proposer: str) -> None:
         """Becomes primary of a term that was adopted for ``proposer``."""
@@ -169,6 +177,7 @@
             return
         self.role = Role.PRIMARY
         self.primary = self.name
+        self._led_term = term
         self._append(())
 
     def follow(self, term: int, primary: str) -> None:
@@ -176,11 +185,10 @@
         if term < self.adopted_term or primary == self.name:
             return
         if term > self.adopted_term:
-            self.adopted_term = term
-            self.proposer = ""
-            self.role = Role.REPLICA
-        if self.role is Role.REPLICA:
+            self._enter_term(term, "")
+        if self.role is Role.REPLICA and self.primary != primary:
             self.primary = primary
+            self._last_contact = None
         self._announce()
 
     def bootstrap(self, primary: str) -> None:
@@ -249,22 +257,30 @@
         The answer has one row: whether ``after`` is in this log, then the
         entries as JSON, then whether they reach the log's end.
         """
-        if self.role is not Role.PRIMARY or self.adopted_term != term:
-            raise StatementError(
-                code=READ_ONLY,
-                sqlstate="HY000",
-                message=f"{self.name} is not the primary of term {term}",
-            )
+        self._require_log_of(term)
         if not self._contains(after):
             return Result(rows=((0, "[]", 0),))
-        await self.wait_for(
-            LogPosition(self.adopted_term, after.index + 1), timeout_s=FETCH_IDLE_S
-        )
+        await self.wait_for(LogPosition(term, after.index + 1), timeout_s=FETCH_IDLE_S)
+        self._require_log_of(term)
         entries = self.log[after.index : after.index + FETCH_LIMIT]
         body = json.dumps([[e.term, e.index, list(e.statements)] for e in entries])
-        at_end = int(after.index + len(entries) == len(self.log))
+        # A fenced primary can't know what a later one has written.
+        complete = after.index + len(entries) == len(self.log)
+        at_end = int(complete and self.role is Role.PRIMARY)
         return Result(rows=((1, body, at_end),))
 
+    def _require_log_of(self, term: int) -> None:
+        # A fenced primary's log stays as it was until it follows another primary,
+        # so replicas that are still in its term may fetch the last entries.
+        fenced = self._led_term == term and self.primary == ""
+        leads = self.role is Role.PRIMARY and self.adopted_term == term
+        if not (leads or fenced):
+            raise StatementError(
+                code=READ_ONLY,
+                sqlstate="HY000",
+                message=f"{self.name} is not the primary of term {term}",
+            )
+
     def _contains(self, position: LogPosition) -> bool:
         if position.index == 0:
             return True
@@ -297,16 +313,16 @@
         finally:
             conn.abort()
 
-    async def _fetch_once(self, conn: "object") -> None:
+    async def _fetch_once(self, conn: Connection) -> None:
         term, after = self.adopted_term, self.position
         sql = f"CALL group_fetch({term}, {after.term}, {after.index})"
         async with self.timers.timeout(FETCH_TIMEOUT_S):
-            result = await conn.execute(sql)  # type: ignore[attr-defined]
+            result = await conn.execute(sql)
         found, body, at_end = result.rows[0]
         read_at = self.timers.now()
         entries = [LogEntry(t, i, tuple(s)) for t, i, s in json.loads(body)]
-        if entries and self.faults.lag_ms:
-            await self.timers.sleep(self.faults.lag_ms / 1000)
+        if entries:
+            await self._lag(conn, term)
         await self.until_resumed()
         if self.adopted_term != term or self.position != after:
             return
@@ -322,6 +338,18 @@
         if entries:
             self._announce()
 
+    async def _lag(self, conn: Connection, term: int) -> None:
+        # A replica that is far behind still hears from its primary.
+        end = self.timers.now() + self.faults.lag_ms / 1000
+        while (left := end - self.timers.now()) > 0:
+            await self.timers.sleep(min(left, FETCH_IDLE_S))
+            if left <= FETCH_IDLE_S:
+                return
+            async with self.timers.timeout(FETCH_TIMEOUT_S):
+                await conn.execute("CALL group_status()")
+            if self.adopted_term == term:
+                self._last_contact = self.timers.now()
+
     def _truncate(self, length: int) -> None:
         del self.log[length:]
         self.engine.reset(self.log)
