Replace a lost primary and batch acknowledgements

Cause: nothing promoted an instance when a primary was lost, and each write started one waiting task and one connection per replica. Change: Promoter fences a majority, promotes the furthest and tells the rest; Watcher probes, weighs the replicas' evidence, waits by rank, repairs; one follower task per replica serves all pending waits; Directory seam, written in the background. Group.ask, probe, forget, suspect, highest_term, heard_at and start are new; the meaning of the older methods stays, but primary() now goes on naming a primary while only a minority has left its term. Ruled out: one waiting task per write; deciding by the directory.

--- a/src/heatherpier/_proxy.py
+++ b/src/heatherpier/_proxy.py
@@ -1,11 +1,19 @@
 """Builds a proxy from its settings and runs it."""
 
 import asyncio
+import functools
+import random
 import signal
 
 from heatherpier._session import Session
 from heatherpier.callers import Listener
-from heatherpier.groups import Group, GroupSpec
+from heatherpier.groups import (
+    Group,
+    GroupSpec,
+    Promoter,
+    proposer_rank,
+    start_watcher,
+)
 from heatherpier.reads import Reader
 from heatherpier.sessions import TokenSigner
 from heatherpier.settings import Document, ProxySettings, ServiceModel
@@ -15,7 +23,6 @@
 from heatherpier.writes import Writer
 
 log = get_logger("proxy")
-REFRESH_PERIOD_S = 0.5
 
 
 class Proxy:
@@ -95,17 +102,22 @@
             for user in service.users
         }
         listener = Listener(open_session=self.open_session, password_hashes=hashes)
-        refresh = asyncio.create_task(self._refresh())
+        for groups in self._groups.values():
+            for group in groups.values():
+                self._watch(group)
         await listener.start(host=self._cfg.host, port=self._cfg.port)
         log.info("listening", host=self._cfg.host, port=self._cfg.port)
         await stop.wait()
         await listener.close()
-        refresh.cancel()
+        for groups in self._groups.values():
+            for group in groups.values():
+                group.close()
         log.info("stopped")
 
-    async def _refresh(self) -> None:
-        async for _ in self._timers.every(REFRESH_PERIOD_S):
-            async with asyncio.TaskGroup() as tasks:
-                for groups in self._groups.values():
-                    for group in groups.values():
-                        tasks.create_task(group.refresh())
+    def _watch(self, group: Group) -> None:
+        rng = random.SystemRandom()
+        promoter = Promoter(group, proxy=self._cfg.name, timers=self._timers, rng=rng)
+        rank = functools.partial(
+            proposer_rank, group.spec.name, self._cfg.name, proxies=self._cfg.proxies
+        )
+        start_watcher(group, promoter=promoter, timers=self._timers, rng=rng, rank=rank)
--- a/src/heatherpier/bench/_cluster.py
+++ b/src/heatherpier/bench/_cluster.py
@@ -1,11 +1,18 @@
 """One database group and its proxies' decision code in memory, under virtual time."""
 
 import asyncio
+import random
 from dataclasses import dataclass, field
 
 from heatherpier.bench._instance import Instance
 from heatherpier.bench._memory import MemoryNetwork
-from heatherpier.groups import Group, GroupSpec
+from heatherpier.groups import (
+    Directory,
+    Group,
+    GroupSpec,
+    Promoter,
+    start_watcher,
+)
 from heatherpier.timers import Timers
 from heatherpier.upstreams import Instance as Address
 
@@ -42,6 +49,33 @@
         self._views.append(group)
         return group
 
+    def watch(
+        self,
+        peer: str,
+        *,
+        rank: int = 0,
+        connections: int = 5,
+        directory: Directory | None = None,
+    ) -> Group:
+        """Returns the group as ``peer`` sees it, watched by it.
+
+        Args:
+            peer: Name of the proxy; it seeds its random numbers too.
+            rank: Its place among the proposers.
+            connections: Connections that it may open to each instance.
+            directory: Where it records promotions.
+        """
+        group = self.view(peer, connections=connections)
+        rng = random.Random(peer)
+        timers = self.network.timers
+        promoter = Promoter(
+            group, proxy=peer, timers=timers, rng=rng, directory=directory
+        )
+        start_watcher(
+            group, promoter=promoter, timers=timers, rng=rng, rank=lambda: rank
+        )
+        return group
+
     async def close(self) -> None:
         """Ends replication and closes all pools."""
         for group in self._views:
--- a/src/heatherpier/groups/_errors.py
+++ b/src/heatherpier/groups/_errors.py
@@ -15,3 +15,15 @@
 
 class UnexpectedAnswerError(GroupError):
     """An instance answered a control statement in another form than agreed."""
+
+
+class PromotionError(GroupError):
+    """A change of primary was not completed."""
+
+
+class NotFencedError(PromotionError):
+    """A majority did not adopt the proposed term."""
+
+
+class DirectoryError(GroupError):
+    """The directory did not answer, or its answer was lost after the effect."""
--- /dev/null
+++ b/src/heatherpier/groups/_evidence.py
@@ -0,0 +1,94 @@
+"""Signs that a primary which does not answer this proxy is still alive."""
+
+from collections import deque
+
+from heatherpier.groups._condition import expected_primary
+from heatherpier.groups._errors import NoPrimaryError
+from heatherpier.groups._group import Group
+from heatherpier.groups._types import ORIGIN
+
+# A primary that a replica heard from more recently is taken for alive, in seconds.
+CONTACT_S = 0.5
+# Its log counts as growing for this long after the last new entry, in seconds.
+GROWTH_S = 1.0
+# Hold-off while the primary lives and nobody is seen to write to it, in seconds.
+IDLE_HOLD_OFF_S = 1.2
+# Hold-off while others are seen to write to it, in seconds.
+BUSY_HOLD_OFF_S = 5.0
+# Each change of primary within this time doubles the hold-off, in seconds.
+RECENT_S = 30.0
+MOST_DOUBLINGS = 3
+
+
+class Evidence:
+    """What a group's replicas tell about their primary, over time.
+
+    Args:
+        group: The group as this proxy knows it.
+    """
+
+    def __init__(self, group: Group) -> None:
+        self._group = group
+        self._furthest = ORIGIN
+        self._grew_at = -GROWTH_S
+        self._term = 0
+        self._led_term = 0
+        self._changes: deque[float] = deque(maxlen=MOST_DOUBLINGS)
+        self.term_seen_at = -RECENT_S
+
+    def observe(self, now: float) -> None:
+        """Takes in the group's present statuses.
+
+        Args:
+            now: Monotonic time in seconds.
+        """
+        statuses = self._group.statuses.values()
+        furthest = max((item.position for item in statuses), default=ORIGIN)
+        if furthest > self._furthest:
+            self._furthest = furthest
+            self._grew_at = now
+        term = self._group.highest_term()
+        if term > self._term:
+            self._term = term
+            self.term_seen_at = now
+        self._note_change(now)
+
+    def _note_change(self, now: float) -> None:
+        try:
+            term = self._group.primary().adopted_term
+        except NoPrimaryError:
+            return
+        if term > self._led_term > 0:
+            self._changes.append(now)
+        self._led_term = max(self._led_term, term)
+
+    def hold_off_s(self, now: float) -> float:
+        """Returns how long a lost primary must be lost before it is replaced.
+
+        Args:
+            now: Monotonic time in seconds.
+        """
+        if now - self._last_contact() > CONTACT_S:
+            return 0.0
+        growing = now - self._grew_at < GROWTH_S
+        hold_off_s = BUSY_HOLD_OFF_S if growing else IDLE_HOLD_OFF_S
+        return hold_off_s * self.caution(now)
+
+    def caution(self, now: float) -> int:
+        """Returns the factor on hold-offs that recent changes of primary demand.
+
+        Args:
+            now: Monotonic time in seconds.
+        """
+        recent = sum(1 for changed_at in self._changes if now - changed_at < RECENT_S)
+        return int(2**recent)
+
+    def _last_contact(self) -> float:
+        statuses = self._group.statuses
+        expected = expected_primary(statuses.values())
+        contacts = [
+            self._group.heard_at[name] - item.contact_ms / 1000
+            for name, item in statuses.items()
+            if expected and item.primary == expected and name != expected
+        ]
+        return max(contacts, default=-RECENT_S)
--- a/src/heatherpier/groups/_group.py
+++ b/src/heatherpier/groups/_group.py
@@ -1,40 +1,33 @@
 """One database group as this proxy sees it."""
 
 import asyncio
-from dataclasses import dataclass
-
-from heatherpier.groups._control import fetch_status, wait_for_position
-from heatherpier.groups._errors import GroupError, NoPrimaryError, NotAcknowledgedError
+from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
+from contextlib import asynccontextmanager
+from functools import partial
+from typing import Any, TypeVar
+
+from heatherpier.groups._acknowledgement import Acknowledger
+from heatherpier.groups._control import fetch_status
+from heatherpier.groups._errors import GroupError, NoPrimaryError
+from heatherpier.groups._spec import GroupSpec
 from heatherpier.groups._types import ORIGIN, InstanceStatus, LogPosition
 from heatherpier.timers import Timers
-from heatherpier.upstreams import Connector, Instance, Pool, UpstreamError
-
-STATUS_TIMEOUT_S = 0.5
-ACKNOWLEDGE_WAIT_S = 0.5
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class GroupSpec:
-    """What the configuration says of a group.
+from heatherpier.upstreams import (
+    ConnectError,
+    Connector,
+    Pool,
+    PooledConnection,
+    StatementError,
+    TooManyConnectionsError,
+    UpstreamError,
+)
 
-    Attributes:
-        name: Name that is unique in the deployment.
-        service: Service that the group belongs to.
-        database: Schema by which callers name the group.
-        instances: Its instances.
-        connections: Connections that this proxy may open to each instance.
-    """
+# Longest wait for a control statement on a connection of the pool, in seconds.
+POOLED_ANSWER_S = 0.3
+# Longest wait for the same statement on a new connection, in seconds.
+NEW_ANSWER_S = 0.4
 
-    name: str
-    service: str
-    database: str
-    instances: tuple[Instance, ...]
-    connections: int
-
-    @property
-    def majority(self) -> int:
-        """Least count of instances that is more than half."""
-        return len(self.instances) // 2 + 1
+T = TypeVar("T")
 
 
 class Group:
@@ -47,13 +40,16 @@
         spec: What the configuration says of the group.
         pools: Connections by instance.
         statuses: Last known statuses by instance.
+        heard_at: Monotonic time in seconds of each instance's last answer.
         suspected: Set when work on an instance failed.
+        suspicions: The same by instance.
     """
 
     def __init__(
         self, spec: GroupSpec, *, connector: Connector, timers: Timers
     ) -> None:
         self.spec = spec
+        self._connector = connector
         self._timers = timers
         self.pools = {
             instance.name: Pool(
@@ -62,29 +58,72 @@
             for instance in spec.instances
         }
         self.statuses: dict[str, InstanceStatus] = {}
+        self.heard_at: dict[str, float] = {}
         self._acknowledged = ORIGIN
         self._changed = asyncio.Event()
         self.suspected = asyncio.Event()
+        self.suspicions = {name: asyncio.Event() for name in self.pools}
+        self._acknowledger = Acknowledger(
+            self.pools, timers=timers, learn=self.learn, connections=spec.connections
+        )
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    # Statuses
 
     def learn(self, status: InstanceStatus) -> None:
         """Takes in what an instance told about itself."""
+        known = self.statuses.get(status.instance)
+        self.heard_at[status.instance] = self._timers.now()
+        # Terms only rise, so this answer is older than the known one.
+        if known is not None and known.adopted_term > status.adopted_term:
+            return
         self.statuses[status.instance] = status
         self._changed.set()
         self._changed = asyncio.Event()
 
+    def forget(self, name: str) -> None:
+        """Drops what is known of an instance that does not answer."""
+        self.statuses.pop(name, None)
+
+    def report_failure(self, name: str) -> None:
+        """Takes in that work on an instance failed, so that it is probed at once.
+
+        Args:
+            name: Name of the instance.
+        """
+        self.forget(name)
+        self.suspect(name)
+
+    def suspect(self, name: str) -> None:
+        """Has an instance probed at once.
+
+        Args:
+            name: Name of the instance.
+        """
+        self.suspicions[name].set()
+        self.suspected.set()
+
     def primary(self) -> InstanceStatus:
         """Returns the last known status of the primary of the highest term.
 
         Raises:
-            NoPrimaryError: None is known.
+            NoPrimaryError: None is known, or a majority has left its term.
         """
         leaders = [item for item in self.statuses.values() if item.leads()]
         best = max(leaders, key=lambda item: item.adopted_term, default=None)
-        highest = max((s.adopted_term for s in self.statuses.values()), default=0)
-        if best is None or best.adopted_term < highest:
-            raise NoPrimaryError(f"{self.spec.name}: no primary in term {highest}")
+        if best is None:
+            raise NoPrimaryError(f"{self.spec.name}: no primary is known")
+        left = [s for s in self.statuses.values() if s.adopted_term > best.adopted_term]
+        if len(left) >= self.spec.majority:
+            raise NoPrimaryError(
+                f"{self.spec.name}: a majority left term {best.adopted_term}"
+            )
         return best
 
+    def highest_term(self) -> int:
+        """Returns the highest adopted term that is known, or 0."""
+        return max((item.adopted_term for item in self.statuses.values()), default=0)
+
     async def wait_for_primary(self, *, deadline: float) -> InstanceStatus:
         """Returns the primary, waiting for one until ``deadline``.
 
@@ -107,27 +146,80 @@
             except TimeoutError:
                 continue
 
-    async def refresh(self) -> None:
-        """Asks every instance for its status."""
-        async with asyncio.TaskGroup() as tasks:
-            for name in self.pools:
-                tasks.create_task(self._refresh_one(name))
+    # Questions to instances
 
-    async def _refresh_one(self, name: str) -> None:
+    async def ask(
+        self,
+        name: str,
+        statement: Callable[[PooledConnection], Awaitable[T]],
+        *,
+        timeout_s: float = POOLED_ANSWER_S,
+    ) -> T:
+        """Runs an idempotent control statement, if needed again on a new connection.
+
+        A pool may be full of work or of connections that went silent, so only a
+        new connection tells whether the instance answers.
+
+        Args:
+            name: Name of the instance.
+            statement: Runs the statement on a connection.
+            timeout_s: Longest wait on a connection of the pool, in seconds.
+
+        Raises:
+            UpstreamError: The instance does not answer, or refused.
+            GroupError: Its answer has another form than agreed.
+        """
         try:
-            async with self.pools[name].borrow(timeout_s=STATUS_TIMEOUT_S) as conn:
-                self.learn(await fetch_status(conn, timeout_s=STATUS_TIMEOUT_S))
-        except (UpstreamError, GroupError):
-            self.statuses.pop(name, None)
+            async with (
+                self._timers.timeout(timeout_s),
+                self.pools[name].borrow(timeout_s=timeout_s) as conn,
+            ):
+                return await statement(conn)
+        except (TimeoutError, UpstreamError) as exc:
+            if isinstance(exc, StatementError):
+                raise
+        async with self._open(name) as conn:
+            return await statement(conn)
+
+    @asynccontextmanager
+    async def _open(self, name: str) -> AsyncIterator[PooledConnection]:
+        try:
+            async with self._timers.timeout(NEW_ANSWER_S):
+                conn = await self._connector.connect(self.pools[name].instance)
+        except TimeoutError as exc:
+            raise ConnectError(
+                f"{name}: no connection within {NEW_ANSWER_S:.3f} s"
+            ) from exc
+        opened = PooledConnection(conn, timers=self._timers, name=name)
+        try:
+            yield opened
+        finally:
+            opened.abort()
 
-    def report_failure(self, name: str) -> None:
-        """Takes in that work on an instance failed, so that it is probed at once.
+    async def probe(self, name: str) -> bool:
+        """Asks an instance for its status and tells whether it answers.
 
         Args:
             name: Name of the instance.
         """
-        self.statuses.pop(name, None)
-        self.suspected.set()
+        try:
+            status = await self.ask(name, partial(fetch_status, timeout_s=NEW_ANSWER_S))
+        except TooManyConnectionsError:
+            # A refusal is an answer.
+            return True
+        except (UpstreamError, GroupError):
+            self.forget(name)
+            return False
+        self.learn(status)
+        return True
+
+    async def refresh(self) -> None:
+        """Asks every instance for its status."""
+        async with asyncio.TaskGroup() as tasks:
+            for name in self.pools:
+                tasks.create_task(self.probe(name))
+
+    # Majorities
 
     async def confirm_primary(
         self, primary: InstanceStatus, *, deadline: float
@@ -144,8 +236,12 @@
         Raises:
             NotAcknowledgedError: A majority did not confirm the term in time.
         """
-        origin = LogPosition(primary.adopted_term, 0)
-        await self._await_majority(origin, primary=primary.instance, deadline=deadline)
+        await self._acknowledger.wait(
+            LogPosition(primary.adopted_term, 0),
+            primary=primary.instance,
+            deadline=deadline,
+            current=True,
+        )
 
     async def acknowledge(
         self, position: LogPosition, *, primary: str, deadline: float
@@ -158,54 +254,32 @@
             deadline: Monotonic time in seconds.
 
         Raises:
-            NotAcknowledgedError: A majority did not hold it in time.
+            NotAcknowledgedError: A majority did not hold it in time, or so many
+                instances adopted a higher term that none can. Whether the next
+                primary holds it is then open.
         """
         known = self._acknowledged
         # A higher term proves nothing of a lower one's last entries.
         if position.term == known.term and position.index <= known.index:
             return
-        await self._await_majority(position, primary=primary, deadline=deadline)
+        await self._acknowledger.wait(
+            position, primary=primary, deadline=deadline, current=False
+        )
         self._acknowledged = max(self._acknowledged, position)
 
-    async def _await_majority(
-        self, position: LogPosition, *, primary: str, deadline: float
-    ) -> None:
-        needed = self.spec.majority - 1
-        waits = [
-            asyncio.create_task(self._holds(name, position, deadline=deadline))
-            for name in self.pools
-            if name != primary
-        ]
-        try:
-            for held in asyncio.as_completed(waits):
-                needed -= await held
-                if needed <= 0:
-                    return
-        finally:
-            for wait in waits:
-                wait.cancel()
-            await asyncio.gather(*waits, return_exceptions=True)
-        raise NotAcknowledgedError(f"{self.spec.name}: {position} is not on a majority")
-
-    async def _holds(
-        self, name: str, position: LogPosition, *, deadline: float
-    ) -> bool:
-        while (left := deadline - self._timers.now()) > 0:
-            wait_s = min(left, ACKNOWLEDGE_WAIT_S)
-            try:
-                async with self.pools[name].borrow(timeout_s=wait_s) as conn:
-                    status = await wait_for_position(conn, position, timeout_s=wait_s)
-            except (UpstreamError, GroupError):
-                await self._timers.sleep(min(left, ACKNOWLEDGE_WAIT_S / 10))
-                continue
-            self.learn(status)
-            if status.adopted_term > position.term:
-                return False
-            if status.position >= position:
-                return True
-        return False
+    # Life cycle
+
+    def start(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        """Runs ``work`` as a task that ends with the group at the latest."""
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
 
     def close(self) -> None:
-        """Closes all pools."""
+        """Ends all tasks of the group and closes its pools."""
+        for task in self._tasks:
+            task.cancel()
+        self._acknowledger.close()
         for pool in self.pools.values():
             pool.close()
--- /dev/null
+++ b/src/heatherpier/groups/_spec.py
@@ -0,0 +1,34 @@
+"""What the configuration says of a database group."""
+
+from dataclasses import dataclass
+
+from heatherpier.upstreams import Instance
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class GroupSpec:
+    """What the configuration says of a group.
+
+    Attributes:
+        name: Name that is unique in the deployment.
+        service: Service that the group belongs to.
+        database: Schema by which callers name the group.
+        instances: Its instances.
+        connections: Connections that this proxy may open to each instance.
+    """
+
+    name: str
+    service: str
+    database: str
+    instances: tuple[Instance, ...]
+    connections: int
+
+    @property
+    def majority(self) -> int:
+        """Least count of instances that is more than half."""
+        return len(self.instances) // 2 + 1
+
+    @property
+    def leaving(self) -> frozenset[str]:
+        """Names of the instances that must get no new work."""
+        return frozenset(item.name for item in self.instances if item.leaving)
