Add peers and membership of the fleet

Cause: configuration must reach every proxy, and connection budgets need to know who is alive, while the platform's list of VMs lags.

Ruled out: the platform's list alone (lags by minutes); heartbeats of each proxy to each other (grows with the fleet); suspecting members of other data centres (a cut between regions would declare hundreds dead).

Change: encrypted ZeroMQ requests between peers with a versioned schema, a size limit and counted drops; random probes in the data centre, indirect probes, suspicion and refutation by incarnation; delegates exchange updates between data centres; the configuration version rides on each probe.

--- a/src/heatherpier/bench/__init__.py
+++ b/src/heatherpier/bench/__init__.py
@@ -4,6 +4,7 @@
 from heatherpier.bench._instance import Instance, InstanceFaults
 from heatherpier.bench._instance_server import run_instance, serve_instance
 from heatherpier.bench._memory import MemoryNetwork
+from heatherpier.bench._memory_peers import MemoryFleet
 from heatherpier.bench._platform import MemoryPlatform
 from heatherpier.bench._platform_server import run_platform, serve_platform
 from heatherpier.bench._processes import free_ports
@@ -11,6 +12,7 @@
 __all__ = [
     "Instance",
     "InstanceFaults",
+    "MemoryFleet",
     "MemoryGroup",
     "MemoryNetwork",
     "MemoryPlatform",
--- /dev/null
+++ b/src/heatherpier/fleet/__init__.py
@@ -0,0 +1,23 @@
+"""The proxies as one fleet: messages between peers and membership."""
+
+from heatherpier.fleet._errors import FleetError, PeerUnreachableError
+from heatherpier.fleet._interface import Handler, Peer, PeerNetwork
+from heatherpier.fleet._membership import Member, Membership, State
+from heatherpier.fleet._messages import Codec, Message, PeerRecord
+from heatherpier.fleet._zmq import CurveKeys, ZmqPeers
+
+__all__ = [
+    "Codec",
+    "CurveKeys",
+    "FleetError",
+    "Handler",
+    "Member",
+    "Membership",
+    "Message",
+    "Peer",
+    "PeerNetwork",
+    "PeerRecord",
+    "PeerUnreachableError",
+    "State",
+    "ZmqPeers",
+]
--- /dev/null
+++ b/src/heatherpier/fleet/tests/test_zmq.py
@@ -0,0 +1,83 @@
+"""Peers over encrypted sockets."""
+
+import asyncio
+
+import pytest
+import zmq
+import zmq.asyncio
+
+from heatherpier.bench import free_ports
+from heatherpier.fleet import Codec, CurveKeys, Peer, PeerUnreachableError, ZmqPeers
+from heatherpier.fleet._membership import MESSAGES, Ping, Pong
+
+PING = Ping(updates=(), version=3)
+
+
+@pytest.fixture(scope="module")
+def event_loop_policy():
+    return asyncio.DefaultEventLoopPolicy()
+
+
+def new_keys():
+    public, secret = zmq.curve_keypair()
+    return CurveKeys(public=public, secret=secret)
+
+
+def make(name, timers, *, keys):
+    (port,) = free_ports(1)
+    me = Peer(name=name, host="127.0.0.1", port=port, data_centre="north-a")
+    return ZmqPeers(me, keys=keys, codec=Codec(MESSAGES), timers=timers)
+
+
+async def answer_ping(sender, ping):
+    return Pong(updates=(), version=ping.version + 1)
+
+
+@pytest.fixture
+async def server(timers):
+    keys = new_keys()
+    async with make("proxy-2", timers, keys=keys) as peers:
+        peers.handle(Ping, answer_ping)
+        yield peers, keys
+
+
+async def test_request_is_answered(server, timers):
+    peers, keys = server
+    async with make("proxy-1", timers, keys=keys) as client:
+        answer = await client.request(peers.me, PING, timeout_s=5)
+    assert answer.version == 4
+
+
+async def test_answers_match_their_requests(server, timers):
+    peers, keys = server
+    async with make("proxy-1", timers, keys=keys) as client:
+        pings = [Ping(updates=(), version=number) for number in range(50)]
+        answers = await asyncio.gather(
+            *(client.request(peers.me, ping, timeout_s=5) for ping in pings)
+        )
+    assert [answer.version for answer in answers] == list(range(1, 51))
+
+
+async def test_peer_with_another_key_gets_no_answer(server, timers):
+    peers, _ = server
+    async with make("stranger", timers, keys=new_keys()) as client:
+        with pytest.raises(PeerUnreachableError):
+            await client.request(peers.me, PING, timeout_s=0.5)
+    assert peers.counters.received == 0
+
+
+async def test_garbage_is_counted_and_costs_nothing_else(server, timers):
+    peers, keys = server
+    async with make("proxy-1", timers, keys=keys) as client:
+        await client._link(peers.me).socket.send(b"garbage")
+        answer = await client.request(peers.me, PING, timeout_s=5)
+    assert (answer.version, peers.counters.dropped) == (4, 1)
+
+
+async def test_silent_peer_is_unreachable(timers):
+    keys = new_keys()
+    (port,) = free_ports(1)
+    nobody = Peer(name="x", host="127.0.0.1", port=port, data_centre="north-a")
+    async with make("proxy-1", timers, keys=keys) as client:
+        with pytest.raises(PeerUnreachableError):
+            await client.request(nobody, PING, timeout_s=0.3)
