Spread accepted configuration to every proxy

Cause: a document in a file reaches only one proxy, and two operators can overwrite each other.

Polls are shared by count instead.

Change: slice configuration: sections and manifest by content hash in the object store, a small head moved by conditional update, submissions resolved by their id after lost answers, conflicts with the difference; followers poll, fetch what changed from the peer that told them, validate, apply, relay.

--- /dev/null
+++ b/src/heatherpier/configuration/tests/conftest.py
@@ -0,0 +1,132 @@
+"""A fleet with its platform in memory."""
+
+import asyncio
+import random
+
+import pytest
+
+from heatherpier.bench import MemoryFleet, MemoryPlatform
+from heatherpier.configuration import MESSAGES, Follower, Publisher, Submission
+from heatherpier.fleet import Codec, Membership, Peer
+from heatherpier.fleet._membership import MESSAGES as FLEET_MESSAGES
+from heatherpier.settings import Document
+
+PLACES = ("north-a", "central-a", "south-a")
+
+
+def make_document(*services, slots=3):
+    return Document.model_validate(
+        {
+            "services": [
+                {
+                    "name": name,
+                    "slots": slots,
+                    "groups": [
+                        {
+                            "name": f"{name}-1",
+                            "database": f"{name}_1",
+                            "instances": [
+                                {
+                                    "name": f"{name}-1-a",
+                                    "host": f"10.0.{number}.1",
+                                    "port": 3306,
+                                    "data_centre": "north-a",
+                                }
+                            ],
+                        }
+                    ],
+                }
+                for number, name in enumerate(services)
+            ]
+        }
+    )
+
+
+class Proxies:
+    """Followers of a fleet in memory, with what each has put in force."""
+
+    def __init__(self, timers, *, count, seed=11):
+        self.timers = timers
+        self.rng = random.Random(seed)
+        codec = Codec((*FLEET_MESSAGES, *MESSAGES))
+        self.fleet = MemoryFleet(timers=timers, codec=codec, rng=self.rng)
+        self.platform = MemoryPlatform(timers=timers)
+        self.publisher = Publisher(
+            tables=self.platform, objects=self.platform, timers=timers
+        )
+        self.followers = {}
+        self.applied = {}
+        self.tasks = {}
+        self.peers = [
+            Peer(
+                name=f"proxy-{number}",
+                host="10.0.0.1",
+                port=4000 + number,
+                data_centre=PLACES[number % len(PLACES)],
+            )
+            for number in range(count)
+        ]
+
+    def start(self, peer):
+        self.applied[peer.name] = []
+
+        async def apply(document, version):
+            self.applied[peer.name].append(version)
+
+        network = self.fleet.network(peer)
+        follower = Follower(
+            tables=self.platform,
+            objects=self.platform,
+            network=network,
+            timers=self.timers,
+            rng=self.rng,
+            apply=apply,
+        )
+        members = Membership(
+            peer,
+            network=network,
+            timers=self.timers,
+            rng=self.rng,
+            incarnation=1,
+            version=follower.version,
+            on_version=follower.hear_version,
+        )
+        follower.use_members(members)
+        self.followers[peer.name] = follower
+        self.tasks[peer.name] = asyncio.create_task(self._run(members, follower))
+
+    async def _run(self, members, follower):
+        await members.join(self.peers)
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(members.run())
+            tasks.create_task(follower.run())
+
+    async def submit(self, document, *, submission, base_version):
+        return await self.publisher.submit(
+            Submission(
+                document=document,
+                author="mai",
+                submission=submission,
+                base_version=base_version,
+            )
+        )
+
+    def versions(self):
+        return {follower.version() for follower in self.followers.values()}
+
+    async def close(self):
+        for task in self.tasks.values():
+            task.cancel()
+        await asyncio.gather(*self.tasks.values(), return_exceptions=True)
+        for follower in self.followers.values():
+            await follower.close()
+
+
+@pytest.fixture
+async def proxies(timers):
+    made = Proxies(timers, count=12)
+    for peer in made.peers:
+        made.start(peer)
+    await timers.sleep(5)
+    yield made
+    await made.close()
