Run single writes at most once under a request record

Cause: a write whose answer was lost could not be told from one that never ran, and a repeat ran again.

Ruled out: a refused record before every second run. Two runs of one attempt conflict on the record's primary key, so the run itself is the fence; the refusal is needed only where the caller is told that nothing ran. Also ruled out: the record after the statement, which would show a concurrent second try the first try's effect as its own error.

Change: record and statement share a transaction; a resolver looks keys up on the current primary, waits for a majority in its term and refuses attempts; statement errors pass the instance's code, SQLSTATE and sentence; DDL runs alone; session state is refused. Stand-ins: indexes inside CREATE TABLE, late COMMITs, replication that stops at once. PoolBusyError, PooledConnection.name and Request.key_made_ms are new.

--- a/src/heatherpier/_proxy.py
+++ b/src/heatherpier/_proxy.py
@@ -20,7 +20,7 @@
 from heatherpier.telemetry import get_logger
 from heatherpier.timers import LoopTimers
 from heatherpier.upstreams import Instance, MysqlConnector
-from heatherpier.writes import Writer
+from heatherpier.writes import KeyMaker, Writer
 
 log = get_logger("proxy")
 
@@ -37,7 +37,9 @@
         self._cfg = cfg
         self._timers = LoopTimers()
         self._reader = Reader(timers=self._timers, data_centre=cfg.data_centre)
-        self._writer = Writer(timers=self._timers)
+        rng = random.SystemRandom()
+        keys = KeyMaker(proxy=cfg.name, rng=rng, timers=self._timers)
+        self._writer = Writer(timers=self._timers, keys=keys, rng=rng)
         self._signer = TokenSigner(
             deployment=cfg.deployment,
             keys=tuple(bytes.fromhex(key) for key in cfg.token_keys),
--- a/src/heatherpier/bench/_engine.py
+++ b/src/heatherpier/bench/_engine.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 import sqlglot
+from sqlglot import expressions as exp
 
 from heatherpier.upstreams import Column, Result, StatementError
 
@@ -90,7 +91,12 @@
 
 @functools.lru_cache(maxsize=4096)
 def _translate(sql: str) -> str:
-    return ";".join(sqlglot.transpile(sql, read="mysql", write="sqlite"))
+    trees = [tree for tree in sqlglot.parse(sql, read="mysql") if tree]
+    for tree in trees:
+        # SQLite has no secondary index inside CREATE TABLE.
+        for index in list(tree.find_all(exp.IndexColumnConstraint)):
+            index.pop()
+    return ";".join(tree.sql(dialect="sqlite") for tree in trees)
 
 
 def _run(db: sqlite3.Connection, sql: str) -> Result:
--- a/src/heatherpier/bench/_instance.py
+++ b/src/heatherpier/bench/_instance.py
@@ -38,6 +38,8 @@
         lag_ms: Delay between a commit and its arrival at this instance.
         slow_ms: Extra delay of each statement.
         drop_answers: Count of coming COMMIT answers that are lost after the effect.
+        late_commit_ms: The next COMMIT arrives this much later, after its
+            connection was lost; 0 for none.
         refuse_connections: New connections fail.
         cut_off: Names of peers that can't be reached, both ways.
     """
@@ -47,6 +49,7 @@
     lag_ms: int = 0
     slow_ms: int = 0
     drop_answers: int = 0
+    late_commit_ms: int = 0
     refuse_connections: bool = False
     cut_off: set[str] = field(default_factory=set)
 
@@ -324,6 +327,8 @@
         if entries:
             await self._lag(conn, term)
         await self.until_resumed()
+        if self.faults.replication_stopped:
+            return
         if self.adopted_term != term or self.position != after:
             return
         self._last_contact = self.timers.now()
--- a/src/heatherpier/bench/_memory.py
+++ b/src/heatherpier/bench/_memory.py
@@ -1,6 +1,9 @@
 """A network in memory between callers of `Connector` and stand-in instances."""
 
 import asyncio
+import contextlib
+from collections.abc import Coroutine
+from typing import Any
 
 from heatherpier.bench._dialog import Dialog
 from heatherpier.bench._instance import Instance
@@ -10,6 +13,7 @@
     Connection,
     ConnectionLostError,
     Result,
+    StatementError,
     TooManyConnectionsError,
 )
 from heatherpier.upstreams import Instance as Address
@@ -33,12 +37,19 @@
         self.instances: dict[str, Instance] = {}
         self.open: dict[str, set[_MemoryConnection]] = {}
         self._cuts: set[frozenset[str]] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
 
     def add(self, instance: Instance) -> None:
         """Makes ``instance`` reachable."""
         self.instances[instance.name] = instance
         self.open[instance.name] = set()
 
+    def spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        """Runs ``work`` apart from the connection that caused it."""
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
     def connector(self, peer: str) -> "MemoryConnector":
         """Returns a connector that acts for ``peer``."""
         return MemoryConnector(self, peer)
@@ -103,6 +114,9 @@
 
     async def execute(self, sql: str) -> Result:
         await self._travel()
+        if sql.startswith("COMMIT") and self._target.faults.late_commit_ms:
+            self._commit_late()
+            raise ConnectionLostError(f"{self._target.name}: connection reset")
         work = asyncio.ensure_future(self._dialog.execute(sql))
         broken = asyncio.ensure_future(self._broken.wait())
         try:
@@ -120,6 +134,17 @@
         await self._travel()
         return result
 
+    def _commit_late(self) -> None:
+        faults = self._target.faults
+        delay_s, faults.late_commit_ms = faults.late_commit_ms / 1000, 0
+        self._network.spawn(self._commit_after(delay_s, dialog=self._dialog))
+        self._dialog = Dialog(self._target)
+
+    async def _commit_after(self, delay_s: float, *, dialog: Dialog) -> None:
+        await self._network.timers.sleep(delay_s)
+        with contextlib.suppress(StatementError):
+            await dialog.execute("COMMIT")
+
     async def _travel(self) -> None:
         await self._network.timers.sleep(self._network.delay_s)
         if self.silent or self._network.is_cut(self._peer, self._target.name):
--- a/src/heatherpier/requests/__init__.py
+++ b/src/heatherpier/requests/__init__.py
@@ -1,17 +1,20 @@
 """What a caller asks for and the final answers it can get."""
 
 from heatherpier.requests._errors import (
+    AlreadyRunError,
     FinalError,
     NotRunError,
     OutcomeUnknownError,
     OverloadedError,
     ReadOnlyError,
     RefusedError,
+    StatementRejectedError,
     TooStaleError,
 )
 from heatherpier.requests._types import Answer, Priority, Request
 
 __all__ = [
+    "AlreadyRunError",
     "Answer",
     "FinalError",
     "NotRunError",
@@ -21,5 +24,6 @@
     "ReadOnlyError",
     "RefusedError",
     "Request",
+    "StatementRejectedError",
     "TooStaleError",
 ]
--- a/src/heatherpier/requests/_errors.py
+++ b/src/heatherpier/requests/_errors.py
@@ -40,7 +40,8 @@
     """The statement may have taken effect.
 
     Attributes:
-        key: Idempotency key by which to ask again.
+        key: Idempotency key by which to ask again, or empty for a statement
+            that can carry none.
     """
 
     code = 7002
@@ -48,12 +49,12 @@
     label = "outcome unknown"
 
     def __init__(
-        self, reason: str, *, key: str, retry_after_ms: int | None = None
+        self, reason: str, *, key: str = "", retry_after_ms: int | None = None
     ) -> None:
         self.key = key
-        super().__init__(
-            f"{reason}; ask again with key {key!r}", retry_after_ms=retry_after_ms
-        )
+        if key:
+            reason = f"{reason}; ask again with key {key!r}"
+        super().__init__(reason, retry_after_ms=retry_after_ms)
 
 
 class OverloadedError(FinalError):
@@ -72,6 +73,36 @@
     label = "refused"
 
 
+class StatementRejectedError(RefusedError):
+    """The instance rejected the statement, which had no effect.
+
+    The caller gets the instance's own error number, SQLSTATE and sentence.
+
+    Args:
+        code: MySQL error number, such as 1062 for a duplicate key.
+        sqlstate: Five-character SQLSTATE.
+        message: The instance's sentence.
+    """
+
+    def __init__(self, *, code: int, sqlstate: str, message: str) -> None:
+        super().__init__(message)
+        self.code = code
+        self.sqlstate = sqlstate
+
+    @property
+    def message(self) -> str:
+        """The instance's sentence."""
+        return self.reason
+
+
+class AlreadyRunError(RefusedError):
+    """The key has run before, and its answer can't be given again."""
+
+    code = 7007
+    sqlstate = "HP007"
+    label = "already run"
+
+
 class ReadOnlyError(FinalError):
     """The statement was not run because the group has no primary."""
 
--- a/src/heatherpier/requests/_types.py
+++ b/src/heatherpier/requests/_types.py
@@ -26,6 +26,8 @@
         deadline: Monotonic time in seconds by which the answer must be given.
         floor: Least position that a read must see, or None if none is known.
         key: Idempotency key, or None for one that the proxy makes.
+        key_made_ms: Wall time in milliseconds at which the caller made the key,
+            or None if it did not tell.
         repeatable: Whether the statement may run more than once.
         max_age_ms: Largest age of a read in milliseconds, or None for a read
             that must see the session's writes.
@@ -38,6 +40,7 @@
     deadline: float
     floor: LogPosition | None = None
     key: str | None = None
+    key_made_ms: int | None = None
     repeatable: bool = False
     max_age_ms: int | None = None
     priority: Priority = Priority.SESSION_READ
--- a/src/heatherpier/upstreams/_errors.py
+++ b/src/heatherpier/upstreams/_errors.py
@@ -13,6 +13,10 @@
     """The instance refused a connection because its limit is reached."""
 
 
+class PoolBusyError(ConnectError):
+    """All connections that this proxy may open to the instance are lent."""
+
+
 class StatementError(UpstreamError):
     """The instance answered that a statement failed.
 
--- a/src/heatherpier/upstreams/_pool.py
+++ b/src/heatherpier/upstreams/_pool.py
@@ -9,6 +9,7 @@
     AnswerTimeoutError,
     ConnectError,
     ConnectionLostError,
+    PoolBusyError,
     StatementError,
     UpstreamError,
 )
@@ -21,14 +22,19 @@
 
 
 class PooledConnection:
-    """A lent connection. Each statement has a time limit."""
+    """A lent connection. Each statement has a time limit.
+
+    Attributes:
+        name: Name of the instance.
+        usable: Whether it may run another statement.
+        in_transaction: Set between BEGIN and the answer to COMMIT or ROLLBACK.
+    """
 
     def __init__(self, conn: Connection, *, timers: Timers, name: str) -> None:
         self._conn = conn
         self._timers = timers
-        self._name = name
+        self.name = name
         self.usable = True
-        # Set between BEGIN and the answer to COMMIT or ROLLBACK.
         self.in_transaction = False
 
     async def execute(self, sql: str, *, timeout_s: float) -> Result:
@@ -43,7 +49,7 @@
             ConnectionLostError: The answer did not arrive; the outcome is unknown.
         """
         if not self.usable:
-            raise ConnectionLostError(f"{self._name}: the connection was closed before")
+            raise ConnectionLostError(f"{self.name}: the connection was closed before")
         try:
             async with self._timers.timeout(timeout_s):
                 return await self._conn.execute(sql)
@@ -52,7 +58,7 @@
         except TimeoutError as exc:
             self.abort()
             raise AnswerTimeoutError(
-                f"{self._name}: no answer within {timeout_s:.3f} s"
+                f"{self.name}: no answer within {timeout_s:.3f} s"
             ) from exc
         except BaseException:
             self.abort()
@@ -101,7 +107,7 @@
             async with self._timers.timeout(timeout_s):
                 await self._free.acquire()
         except TimeoutError as exc:
-            raise ConnectError(f"{self.instance.name}: all connections busy") from exc
+            raise PoolBusyError(f"{self.instance.name}: all connections busy") from exc
         try:
             conn = await self._checkout(timeout_s=timeout_s)
             try:
--- /dev/null
+++ b/src/heatherpier/writes/_keys.py
@@ -0,0 +1,96 @@
+"""Idempotency keys: their form, their age and those that the proxy makes."""
+
+import re
+from dataclasses import dataclass
+from typing import Protocol
+
+from heatherpier.requests import RefusedError, Request
+from heatherpier.timers import Timers
+
+KEY_FORM = re.compile(r"[A-Za-z0-9._:/=+@-]{1,128}")
+MADE_KEY = re.compile(r"hp\.[a-z0-9_-]+\.(\d{13})\.[0-9a-f]{24}")
+RANDOM_BITS = 96
+
+MS_PER_HOUR = 3_600_000
+RETENTION_MS = 24 * MS_PER_HOUR
+# Wall clocks of VMs and callers may differ by this much.
+CLOCK_SKEW_MS = MS_PER_HOUR
+
+
+class RandomBits(Protocol):
+    """What keys need of a random source, such as `random.Random`."""
+
+    def getrandbits(self, k: int, /) -> int:
+        """Returns ``k`` random bits."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RequestKey:
+    """The idempotency key of one write.
+
+    Attributes:
+        text: The key.
+        from_caller: Whether the caller gave it, so that earlier tries may exist.
+    """
+
+    text: str
+    from_caller: bool
+
+
+class KeyMaker:
+    """Makes keys and checks those of callers.
+
+    Args:
+        proxy: Name of this proxy, part of the keys it makes.
+        rng: Random source.
+        timers: Timer service.
+        retention_ms: Time in milliseconds that a request record is kept.
+    """
+
+    def __init__(
+        self,
+        *,
+        proxy: str,
+        rng: RandomBits,
+        timers: Timers,
+        retention_ms: int = RETENTION_MS,
+    ) -> None:
+        self._proxy = proxy
+        self._rng = rng
+        self._timers = timers
+        self._retention_ms = retention_ms
+
+    def key_of(self, req: Request) -> RequestKey:
+        """Returns the key of a request, made here if the caller gave none.
+
+        Raises:
+            RefusedError: The caller's key has a wrong form or is too old.
+        """
+        if req.key is None:
+            return RequestKey(text=self._make(), from_caller=False)
+        if not KEY_FORM.fullmatch(req.key):
+            raise RefusedError(
+                f"key {req.key[:140]!r} must be 1 to 128 characters of "
+                "letters, digits and . _ : / = + @ -"
+            )
+        self._check_age(req.key, made_ms=req.key_made_ms)
+        return RequestKey(text=req.key, from_caller=True)
+
+    def _make(self) -> str:
+        bits = self._rng.getrandbits(RANDOM_BITS)
+        return f"hp.{self._proxy}.{self._timers.wall_ms():013d}.{bits:024x}"
+
+    def _check_age(self, key: str, *, made_ms: int | None) -> None:
+        found = MADE_KEY.fullmatch(key)
+        if found:
+            made_ms = int(found[1])
+        if made_ms is None:
+            return
+        age_ms = self._timers.wall_ms() - made_ms
+        if age_ms > self._retention_ms:
+            raise RefusedError(
+                f"key {key!r} was made {age_ms} ms ago; outcomes are kept for "
+                f"{self._retention_ms} ms"
+            )
+        if age_ms < -CLOCK_SKEW_MS:
+            raise RefusedError(f"key {key!r} was made {-age_ms} ms in the future")
--- /dev/null
+++ b/src/heatherpier/writes/tests/conftest.py
@@ -0,0 +1,115 @@
+"""A proxy's writer over instances in memory, and a record of what ran."""
+
+import asyncio
+import random
+from dataclasses import dataclass, field
+
+import pytest
+
+from heatherpier.groups import LogPosition
+from heatherpier.requests import Request
+from heatherpier.writes import KeyMaker, Writer
+
+GROUP = "assist-core-1"
+PROBE_S = 0.1
+
+
+@dataclass
+class WriteBench:
+    """Proxies that write to one group of three instances."""
+
+    memory_group: object
+    timers: object
+    tasks: list = field(default_factory=list)
+    groups: dict = field(default_factory=dict)
+
+    @property
+    def instances(self):
+        return self.memory_group.instances
+
+    @property
+    def primary(self):
+        leaders = [i for i in self.instances if i.status().leads()]
+        return max(leaders, key=lambda item: item.adopted_term)
+
+    async def proxy(self, name="proxy-1", *, seed=7):
+        """Returns the writer and the view of one proxy, which probes the group."""
+        group = self.memory_group.view(name)
+        await group.refresh()
+        self.tasks.append(asyncio.create_task(self._probe(group)))
+        self.groups[name] = group
+        rng = random.Random(seed)
+        keys = KeyMaker(proxy=name, rng=rng, timers=self.timers)
+        return Proxy(self, group, Writer(timers=self.timers, keys=keys, rng=rng))
+
+    async def _probe(self, group):
+        async for _ in self.timers.every(PROBE_S):
+            await group.refresh()
+
+    def promote(self, index, *, term=2, fenced=None):
+        """Changes the primary; only the fenced instances learn of it."""
+        chosen = self.instances[index]
+        members = fenced if fenced is not None else self.instances
+        for instance in members:
+            instance.adopt(term, "test")
+        chosen.promote(term, "test")
+        for instance in members:
+            instance.follow(term, chosen.name)
+
+    def rejoin(self):
+        """Lets every instance follow the primary of the highest term."""
+        for instance in self.instances:
+            instance.resume()
+            instance.faults.replication_stopped = False
+            self.memory_group.network.restart(instance.name)
+            instance.follow(self.primary.adopted_term, self.primary.name)
+
+    def runs(self, marker):
+        """Counts log entries of the primary with a statement that has ``marker``."""
+        return sum(
+            any(marker in sql for sql in entry.statements if "requests" not in sql)
+            for entry in self.primary.log
+        )
+
+    async def settle(self):
+        """Heals everything and waits until all instances hold the same log."""
+        self.rejoin()
+        await self.timers.sleep(8)
+        logs = [[(e.term, e.index) for e in i.log] for i in self.instances]
+        assert logs[0] == logs[1] == logs[2]
+
+
+@dataclass
+class Proxy:
+    """One proxy's writer and view of the group."""
+
+    bench: WriteBench
+    group: object
+    writer: Writer
+
+    async def write(self, sql, *, budget_s=4.0, **fields):
+        deadline = self.bench.timers.now() + budget_s
+        req = Request(sql=sql, group=GROUP, deadline=deadline, **fields)
+        return await self.writer.execute(self.group, req)
+
+
+@pytest.fixture
+async def bench(memory_group, timers):
+    """Returns a bench whose group has the table ``jobs`` and its records."""
+    bench = WriteBench(memory_group, timers)
+    setup = await bench.proxy("setup")
+    await setup.write("CREATE TABLE jobs (id INT PRIMARY KEY, agent TEXT)")
+    await setup.write("INSERT INTO jobs VALUES (0, 'first')")
+    await timers.sleep(0.2)
+    yield bench
+    for task in bench.tasks:
+        task.cancel()
+
+
+@pytest.fixture
+async def proxy(bench):
+    """Returns a proxy of the bench."""
+    return await bench.proxy()
+
+
+ORIGIN = LogPosition(0, 0)
