Test single writes against a fault at each of their moments

Cause: the promises of single writes were not shown under faults.

An answer may take half of the time left, so that a silent connection leaves time for a second attempt.

--- a/src/heatherpier/writes/_writer.py
+++ b/src/heatherpier/writes/_writer.py
@@ -66,6 +66,10 @@
 # Time before the deadline that is kept for the refusal of an attempt whose
 # outcome is unknown, in seconds.
 REFUSAL_RESERVE_S = 0.3
+# Share of the time left that one answer may take, so that a connection that
+# went silent leaves time for another attempt.
+ANSWER_SHARE = 0.5
+SHORTEST_ANSWER_LIMIT_S = 0.5
 
 
 class Writer:
@@ -219,11 +223,11 @@
         primary: InstanceStatus,
     ) -> Committed:
         await begin(conn)
-        left = req.deadline - self._timers.now()
-        await claim_attempt(conn, record, timers=self._timers, timeout_s=left)
+        limit = self._answer_limit_s(req)
+        await claim_attempt(conn, record, timers=self._timers, timeout_s=limit)
         try:
-            left = req.deadline - self._timers.now()
-            result = await conn.execute(req.sql, timeout_s=left)
+            limit = self._answer_limit_s(req)
+            result = await conn.execute(req.sql, timeout_s=limit)
             await update_outcome(conn, record, result, timeout_s=CONTROL_TIMEOUT_S)
         except StatementError as exc:
             await rollback(conn)
@@ -232,6 +236,10 @@
             raise AttemptLostError(str(exc)) from exc
         return await commit(conn, result)
 
+    def _answer_limit_s(self, req: Request) -> float:
+        left = req.deadline - self._timers.now()
+        return max(left * ANSWER_SHARE, min(left, SHORTEST_ANSWER_LIMIT_S))
+
     async def _confirm_rejection(
         self, group: Group, req: Request, exc: RejectedError, *, instance: str
     ) -> None:
--- a/src/heatherpier/writes/tests/conftest.py
+++ b/src/heatherpier/writes/tests/conftest.py
@@ -6,12 +6,15 @@
 
 import pytest
 
-from heatherpier.groups import LogPosition
+from heatherpier.groups import Group
 from heatherpier.requests import Request
 from heatherpier.writes import KeyMaker, Writer
+from heatherpier.writes.tests.traps import Trap, TrapConnector, call_later, spring_of
 
 GROUP = "assist-core-1"
 PROBE_S = 0.1
+# Every fault and the change of primary after it have come by then.
+FAULTS_OVER_S = 2.0
 
 
 @dataclass
@@ -34,26 +37,34 @@
 
     async def proxy(self, name="proxy-1", *, seed=7):
         """Returns the writer and the view of one proxy, which probes the group."""
-        group = self.memory_group.view(name)
+        connector = TrapConnector(self.memory_group.network.connector(name))
+        spec = self.memory_group.view(name).spec
+        group = Group(spec, connector=connector, timers=self.timers)
         await group.refresh()
         self.tasks.append(asyncio.create_task(self._probe(group)))
         self.groups[name] = group
         rng = random.Random(seed)
         keys = KeyMaker(proxy=name, rng=rng, timers=self.timers)
-        return Proxy(self, group, Writer(timers=self.timers, keys=keys, rng=rng))
+        writer = Writer(timers=self.timers, keys=keys, rng=rng)
+        return Proxy(self, group, writer, connector.traps, rng)
 
     async def _probe(self, group):
         async for _ in self.timers.every(PROBE_S):
             await group.refresh()
 
-    def promote(self, index, *, term=2, fenced=None):
-        """Changes the primary; only the fenced instances learn of it."""
-        chosen = self.instances[index]
-        members = fenced if fenced is not None else self.instances
-        for instance in members:
+    def later(self, delay_s, action):
+        """Runs ``action`` after a delay."""
+        self.tasks.append(call_later(self.timers, delay_s, action))
+
+    def fail_over(self, old, *, fence_old=False):
+        """Fences the others, and promotes the one that is furthest."""
+        others = [i for i in self.instances if i is not old]
+        term = max(i.adopted_term for i in self.instances) + 1
+        for instance in others + [old] * fence_old:
             instance.adopt(term, "test")
+        chosen = max(others, key=lambda item: item.position)
         chosen.promote(term, "test")
-        for instance in members:
+        for instance in others + [old] * fence_old:
             instance.follow(term, chosen.name)
 
     def rejoin(self):
@@ -62,6 +73,8 @@
             instance.resume()
             instance.faults.replication_stopped = False
             self.memory_group.network.restart(instance.name)
+            for other in self.instances:
+                self.memory_group.network.heal(instance.name, other.name)
             instance.follow(self.primary.adopted_term, self.primary.name)
 
     def runs(self, marker):
@@ -73,6 +86,7 @@
 
     async def settle(self):
         """Heals everything and waits until all instances hold the same log."""
+        await self.timers.sleep(FAULTS_OVER_S)
         self.rejoin()
         await self.timers.sleep(8)
         logs = [[(e.term, e.index) for e in i.log] for i in self.instances]
@@ -86,6 +100,13 @@
     bench: WriteBench
     group: object
     writer: Writer
+    traps: list
+    rng: random.Random
+
+    def trap(self, fault, prefix, *, after=False):
+        """Springs ``fault`` when this proxy sends a statement."""
+        spring = spring_of(fault, self.bench)
+        self.traps.append(Trap(prefix, after, spring))
 
     async def write(self, sql, *, budget_s=4.0, **fields):
         deadline = self.bench.timers.now() + budget_s
@@ -100,6 +121,7 @@
     setup = await bench.proxy("setup")
     await setup.write("CREATE TABLE jobs (id INT PRIMARY KEY, agent TEXT)")
     await setup.write("INSERT INTO jobs VALUES (0, 'first')")
+    await setup.write("CREATE TABLE calls (agent TEXT)")
     await timers.sleep(0.2)
     yield bench
     for task in bench.tasks:
@@ -110,6 +132,3 @@
 async def proxy(bench):
     """Returns a proxy of the bench."""
     return await bench.proxy()
-
-
-ORIGIN = LogPosition(0, 0)
