Have an instance probed after a lost connection instead of forgetting it

Cause: one lost connection made the whole proxy forget the primary until the next probe.

Change: the writer suspects the instance, which is probed at once and stays known; random.Random takes the place of a protocol of its own.

--- a/src/heatherpier/writes/_keys.py
+++ b/src/heatherpier/writes/_keys.py
@@ -2,7 +2,7 @@
 
 import re
 from dataclasses import dataclass
-from typing import Protocol
+from random import Random
 
 from heatherpier.requests import RefusedError, Request
 from heatherpier.timers import Timers
@@ -17,13 +17,6 @@
 CLOCK_SKEW_MS = MS_PER_HOUR
 
 
-class RandomBits(Protocol):
-    """What keys need of a random source, such as `random.Random`."""
-
-    def getrandbits(self, k: int, /) -> int:
-        """Returns ``k`` random bits."""
-
-
 @dataclass(frozen=True, slots=True, kw_only=True)
 class RequestKey:
     """The idempotency key of one write.
@@ -51,7 +44,7 @@
         self,
         *,
         proxy: str,
-        rng: RandomBits,
+        rng: Random,
         timers: Timers,
         retention_ms: int = RETENTION_MS,
     ) -> None:
--- a/src/heatherpier/writes/_resolver.py
+++ b/src/heatherpier/writes/_resolver.py
@@ -3,6 +3,7 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
+from random import Random
 
 from heatherpier.groups import (
     Group,
@@ -23,7 +24,6 @@
 )
 from heatherpier.writes._attempt import CONTROL_TIMEOUT_S, ServerError, refusal_of
 from heatherpier.writes._errors import AttemptLostError, UnresolvedError
-from heatherpier.writes._keys import RandomBits
 from heatherpier.writes._primary import find_primary
 from heatherpier.writes._records import (
     CREATE_TABLE,
@@ -94,7 +94,7 @@
         rng: Random source for retry delays.
     """
 
-    def __init__(self, *, timers: Timers, rng: RandomBits) -> None:
+    def __init__(self, *, timers: Timers, rng: Random) -> None:
         self._timers = timers
         self._rng = rng
 
@@ -240,7 +240,7 @@
         except StatementError:
             raise
         except UpstreamError:
-            group.report_failure(primary.instance)
+            group.suspect(primary.instance)
             raise
 
     async def _pause(
--- a/src/heatherpier/writes/_retry.py
+++ b/src/heatherpier/writes/_retry.py
@@ -1,10 +1,9 @@
 """Jittered delays between attempts."""
 
-from heatherpier.writes._keys import RandomBits
+from random import Random
 
 FIRST_DELAY_S = 0.02
 LARGEST_DELAY_S = 0.25
-JITTER_BITS = 16
 
 
 class Backoff:
@@ -14,13 +13,12 @@
         rng: Random source.
     """
 
-    def __init__(self, rng: RandomBits) -> None:
+    def __init__(self, rng: Random) -> None:
         self._rng = rng
         self._delay_s = FIRST_DELAY_S
 
     def next_s(self) -> float:
         """Returns the next delay in seconds."""
-        jitter: float = self._rng.getrandbits(JITTER_BITS) / 2**JITTER_BITS
-        delay_s = self._delay_s * (1 - jitter / 2)
+        delay_s = self._delay_s * (1 - self._rng.random() / 2)
         self._delay_s = min(self._delay_s * 2, LARGEST_DELAY_S)
         return delay_s
--- a/src/heatherpier/writes/_standalone.py
+++ b/src/heatherpier/writes/_standalone.py
@@ -80,7 +80,7 @@
         except ConnectError as exc:
             raise NotRunError(str(exc), retry_after_ms=RETRY_AFTER_MS) from exc
         except (UpstreamError, GroupError) as exc:
-            group.report_failure(primary.instance)
+            group.suspect(primary.instance)
             raise _unknown(exc) from exc
 
     async def _execute(self, conn: PooledConnection, req: Request) -> Result:
--- a/src/heatherpier/writes/_writer.py
+++ b/src/heatherpier/writes/_writer.py
@@ -1,6 +1,7 @@
 """Runs single writes at most once and waits for a majority."""
 
 from dataclasses import replace
+from random import Random
 
 from heatherpier.groups import (
     Group,
@@ -47,7 +48,7 @@
     UnresolvedError,
     WriteError,
 )
-from heatherpier.writes._keys import KeyMaker, RandomBits
+from heatherpier.writes._keys import KeyMaker
 from heatherpier.writes._kinds import Savepoint, Standalone, Uncarried, kind_of
 from heatherpier.writes._primary import RETRY_AFTER_MS, find_primary
 from heatherpier.writes._records import (
@@ -81,7 +82,7 @@
         rng: Random source for retry delays.
     """
 
-    def __init__(self, *, timers: Timers, keys: KeyMaker, rng: RandomBits) -> None:
+    def __init__(self, *, timers: Timers, keys: KeyMaker, rng: Random) -> None:
         self._timers = timers
         self._keys = keys
         self._rng = rng
@@ -194,10 +195,9 @@
             if not isinstance(exc, PoolBusyError):
                 group.report_failure(name)
             raise AttemptLostError(str(exc)) from exc
-        except ContendedError:
-            raise
-        except (AttemptLostError, CommitUnknownError):
-            group.report_failure(name)
+        except (AttemptLostError, CommitUnknownError) as exc:
+            if not isinstance(exc, ContendedError):
+                group.suspect(name)
             raise
         except RejectedError as exc:
             await self._confirm_rejection(group, req, exc, instance=name)
