Harden session tokens and type the hints of callers

Cause: a signed body of another shape raised a msgspec error, tokens had no bound, and only SET @heatherpier_token was understood. Change: bounded and versioned tokens; SessionHints from SET, query attributes and a leading comment; a key is used up by one statement. A named session has no floor until its token is presented, because it may write through other connections; a change of name drops the floors of the former session. StatementRejectedError carries the instance's own code and SQLSTATE. Ruled out: letting a named session use the floor that one connection learnt.

--- a/src/heatherpier/_session.py
+++ b/src/heatherpier/_session.py
@@ -1,6 +1,7 @@
 """One caller's session: hints, token and where each statement goes."""
 
 from collections.abc import Mapping
+from dataclasses import replace
 
 from heatherpier.callers import (
     Begin,
@@ -18,8 +19,15 @@
 )
 from heatherpier.groups import Group
 from heatherpier.reads import Reader
-from heatherpier.requests import Answer, RefusedError, Request
-from heatherpier.sessions import InvalidTokenError, SessionToken, TokenSigner
+from heatherpier.requests import Answer, Priority, RefusedError, Request
+from heatherpier.sessions import (
+    SessionError,
+    SessionFloors,
+    SessionHints,
+    TokenSigner,
+    parse_attributes,
+    split_comment,
+)
 from heatherpier.timers import Timers
 from heatherpier.upstreams import Column, Result
 from heatherpier.writes import Writer
@@ -38,6 +46,9 @@
         signer: Reads and writes session tokens.
         timers: Timer service.
         deadline_ms: Time in milliseconds that a statement may take.
+        max_age_ms: Age in milliseconds that reads accept, or None for reads
+            that must see the session's writes.
+        user: User name of the caller.
     """
 
     def __init__(
@@ -49,14 +60,18 @@
         signer: TokenSigner,
         timers: Timers,
         deadline_ms: int,
+        max_age_ms: int | None = None,
+        user: str = "",
     ) -> None:
         self._groups = groups
         self._reader = reader
         self._writer = writer
         self._signer = signer
         self._timers = timers
-        self._deadline_ms = deadline_ms
-        self._token = SessionToken()
+        self._user = user
+        self._defaults = SessionHints(deadline_ms=deadline_ms, max_age_ms=max_age_ms)
+        self._hints = SessionHints()
+        self._floors = SessionFloors()
         self.in_transaction = False
         self.autocommit = True
 
@@ -68,31 +83,40 @@
         Raises:
             FinalError: The final answer is not a result.
         """
+        try:
+            commented = split_comment(sql)
+            given = parse_attributes(hints).overridden(commented.hints)
+            return await self._dispatch(commented.sql, database=database, given=given)
+        except SessionError as exc:
+            raise RefusedError(str(exc)) from exc
+
+    async def _dispatch(
+        self, sql: str, *, database: str | None, given: SessionHints
+    ) -> Result:
         statement: Statement = classify(sql)
         match statement:
-            case SelectToken():
-                return self._token_result()
-            case SetHint(name="token", value=value):
-                self._adopt_token(value)
+            case SetHint(name=name, value=value):
+                self._set_hint(name, value)
                 return Result()
-            case SetHint(name=name):
-                raise RefusedError(f"unknown hint {name!r}")
             case SetAutocommit() | Ignored():
                 return Result()
             case Unsupported(reason=reason):
                 raise RefusedError(reason)
+            case SelectToken():
+                self._enter(given)
+                return self._token_result()
+        hints = self._take_hints(given)
+        match statement:
             case Begin() | Commit() | Rollback():
                 raise RefusedError("transactions are not served yet")
             case Read():
                 group = self._group(database)
-                return self._take(
-                    await self._reader.execute(group, self._request(sql, group)), group
-                )
+                req = self._read_request(sql, group, hints)
+                return self._take(await self._reader.execute(group, req), group)
             case Write():
                 group = self._group(database)
-                return self._take(
-                    await self._writer.execute(group, self._request(sql, group)), group
-                )
+                req = self._request(sql, group, hints)
+                return self._take(await self._writer.execute(group, req), group)
 
     async def close(self) -> None:
         """Ends the session."""
@@ -103,25 +127,60 @@
             raise RefusedError(f"unknown database {database!r}")
         return group
 
-    def _request(self, sql: str, group: Group) -> Request:
+    # Hints
+
+    def _set_hint(self, name: str, value: str) -> None:
+        """Sets a hint of the connection; a key lasts until the next statement."""
+        hints = self._hints.with_value(name, value)
+        self._floors.enter(hints, signer=self._signer)
+        self._hints = hints.with_value("token", "NULL")
+
+    def _take_hints(self, given: SessionHints) -> SessionHints:
+        """Returns the hints of one statement and uses the connection's key up."""
+        hints = self._enter(given)
+        self._hints = self._hints.with_value("key", "NULL")
+        return hints
+
+    def _enter(self, given: SessionHints) -> SessionHints:
+        hints = self._defaults.overridden(self._hints).overridden(given)
+        self._floors.enter(hints, signer=self._signer)
+        return hints
+
+    # Requests
+
+    def _request(self, sql: str, group: Group, hints: SessionHints) -> Request:
+        assert hints.deadline_ms is not None
         return Request(
             sql=sql,
             group=group.spec.name,
-            deadline=self._timers.now() + self._deadline_ms / MS_PER_S,
-            floor=self._token.floor(group.spec.name),
+            deadline=self._timers.now() + hints.deadline_ms / MS_PER_S,
+            key=hints.key,
+            repeatable=bool(hints.repeatable),
+            priority=Priority.WRITE if hints.priority is None else hints.priority,
+            trace=hints.trace or "",
+            user=self._user,
+            session=hints.session or "",
+        )
+
+    def _read_request(self, sql: str, group: Group, hints: SessionHints) -> Request:
+        aged = hints.max_age_ms is not None
+        usual = Priority.AGED_READ if aged else Priority.SESSION_READ
+        # A read never takes the place of a write.
+        priority = max(hints.priority or usual, Priority.SESSION_READ)
+        return replace(
+            self._request(sql, group, hints),
+            floor=self._floors.floor(group.spec.name),
+            max_age_ms=hints.max_age_ms,
+            priority=priority,
         )
 
+    # Token
+
     def _take(self, answer: Answer, group: Group) -> Result:
         if answer.position is not None:
-            self._token = self._token.raised(group.spec.name, answer.position)
+            self._floors.raise_to(group, answer.position)
         return answer.result
 
-    def _adopt_token(self, text: str) -> None:
-        try:
-            self._token = self._token.merged(self._signer.decode(text))
-        except InvalidTokenError as exc:
-            raise RefusedError(str(exc)) from exc
-
     def _token_result(self) -> Result:
         column = Column(name="@heatherpier_token", type_code=VAR_STRING)
-        return Result(columns=(column,), rows=((self._signer.encode(self._token),),))
+        return Result(columns=(column,), rows=((self._floors.encode(self._signer),),))
--- a/src/heatherpier/requests/__init__.py
+++ b/src/heatherpier/requests/__init__.py
@@ -7,6 +7,7 @@
     OverloadedError,
     ReadOnlyError,
     RefusedError,
+    StatementRejectedError,
     TooStaleError,
 )
 from heatherpier.requests._types import Answer, Priority, Request
@@ -21,5 +22,6 @@
     "ReadOnlyError",
     "RefusedError",
     "Request",
+    "StatementRejectedError",
     "TooStaleError",
 ]
--- a/src/heatherpier/requests/_errors.py
+++ b/src/heatherpier/requests/_errors.py
@@ -102,3 +102,26 @@
         if available_age_ms is not None:
             reason = f"{reason}; an age of {available_age_ms} ms can be had"
         super().__init__(reason, retry_after_ms=retry_after_ms)
+
+
+class StatementRejectedError(FinalError):
+    """The instance rejected the statement, which had no effect.
+
+    The caller gets the instance's own answer, as if it had asked the instance.
+
+    Attributes:
+        code: The instance's MySQL error number.
+        sqlstate: The instance's SQLSTATE.
+    """
+
+    label = "rejected"
+
+    def __init__(self, *, code: int, sqlstate: str, message: str) -> None:
+        self.code = code
+        self.sqlstate = sqlstate
+        super().__init__(message)
+
+    @property
+    def message(self) -> str:
+        """The instance's own sentence."""
+        return self.reason
--- a/src/heatherpier/requests/_types.py
+++ b/src/heatherpier/requests/_types.py
@@ -31,6 +31,8 @@
             that must see the session's writes.
         priority: Priority class.
         trace: Trace id that logs and events carry.
+        user: User that the statement runs for; users share an instance fairly.
+        session: Name of the session, or empty.
     """
 
     sql: str
@@ -42,6 +44,8 @@
     max_age_ms: int | None = None
     priority: Priority = Priority.SESSION_READ
     trace: str = ""
+    user: str = ""
+    session: str = ""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/heatherpier/sessions/__init__.py
+++ b/src/heatherpier/sessions/__init__.py
@@ -1,6 +1,30 @@
-"""Session tokens: signed sets of floors that callers carry between proxies."""
+"""Session tokens and hints: what callers carry between proxies and say of themselves."""
 
-from heatherpier.sessions._errors import InvalidTokenError, SessionError
+from heatherpier.sessions._errors import (
+    InvalidHintError,
+    InvalidTokenError,
+    SessionError,
+    TokenTooLargeError,
+)
+from heatherpier.sessions._floors import SessionFloors
+from heatherpier.sessions._hints import (
+    CommentedStatement,
+    SessionHints,
+    parse_attributes,
+    split_comment,
+)
 from heatherpier.sessions._token import SessionToken, TokenSigner
 
-__all__ = ["InvalidTokenError", "SessionError", "SessionToken", "TokenSigner"]
+__all__ = [
+    "CommentedStatement",
+    "InvalidHintError",
+    "InvalidTokenError",
+    "SessionError",
+    "SessionFloors",
+    "SessionHints",
+    "SessionToken",
+    "TokenSigner",
+    "TokenTooLargeError",
+    "parse_attributes",
+    "split_comment",
+]
--- a/src/heatherpier/sessions/_errors.py
+++ b/src/heatherpier/sessions/_errors.py
@@ -6,4 +6,12 @@
 
 
 class InvalidTokenError(SessionError):
-    """A token is malformed, tampered with, too old or of another deployment."""
+    """A token is malformed, tampered with, of a retired key or another deployment."""
+
+
+class TokenTooLargeError(SessionError):
+    """A session has floors in more groups than one token holds."""
+
+
+class InvalidHintError(SessionError):
+    """A hint has an unknown name or a value that is not allowed."""
--- a/src/heatherpier/sessions/_token.py
+++ b/src/heatherpier/sessions/_token.py
@@ -4,22 +4,29 @@
 import binascii
 import hashlib
 import hmac
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 import msgspec
 
 from heatherpier.groups import LogPosition
-from heatherpier.sessions._errors import InvalidTokenError
+from heatherpier.sessions._errors import InvalidTokenError, TokenTooLargeError
 
 SIGNATURE_BYTES = 16
-MAX_TOKEN_CHARS = 4096
+TOKEN_VERSION = 1
+MAX_FLOORS = 128
+MAX_TOKEN_CHARS = 16_384
+MAX_NUMBER = 2**62
+# Above this count, floors that every instance has passed are left out.
+FLOORS_KEPT = 16
+SHOWN_CHARS = 16
 
 
 @dataclass(frozen=True, slots=True)
 class SessionToken:
     """Floors of a session: the least position of each group that it must see."""
 
-    floors: dict[str, LogPosition] = field(default_factory=dict)
+    floors: Mapping[str, LogPosition] = field(default_factory=dict)
 
     def floor(self, group: str) -> LogPosition | None:
         """Returns the floor in ``group``, or None if the session has none."""
@@ -39,6 +46,37 @@
             token = token.raised(group, position)
         return token
 
+    def trimmed(
+        self, settled: Mapping[str, LogPosition], *, keep: int = FLOORS_KEPT
+    ) -> "SessionToken":
+        """Returns a token of at most ``keep`` floors, if enough can be left out.
+
+        A floor that is left out is not lost: without it, the next read of that
+        group goes to a confirmed primary. So a wrong ``settled`` costs a read on
+        the primary, never a stale answer.
+
+        Args:
+            settled: Least position of all instances, by group.
+            keep: Count of floors to keep.
+        """
+        spare = len(self.floors) - keep
+        if spare <= 0:
+            return self
+        passed = [
+            group
+            for group, floor in self.floors.items()
+            if group in settled and floor <= settled[group]
+        ]
+        dropped = frozenset(passed[:spare])
+        return SessionToken(
+            {name: floor for name, floor in self.floors.items() if name not in dropped}
+        )
+
+
+class _Body(msgspec.Struct, array_like=True, forbid_unknown_fields=True):
+    version: int
+    floors: dict[str, tuple[int, int]]
+
 
 class TokenSigner:
     """Writes tokens as text and reads them back.
@@ -54,12 +92,20 @@
         self._keys = keys
 
     def encode(self, token: SessionToken) -> str:
-        """Returns ``token`` as printable text."""
+        """Returns ``token`` as printable text.
+
+        Raises:
+            TokenTooLargeError: It has more than `MAX_FLOORS` floors.
+        """
+        if len(token.floors) > MAX_FLOORS:
+            raise TokenTooLargeError(
+                f"floors in {len(token.floors)} groups, expected at most {MAX_FLOORS}"
+            )
         floors = {
             group: (position.term, position.index)
             for group, position in sorted(token.floors.items())
         }
-        body = msgspec.msgpack.encode(floors)
+        body = msgspec.msgpack.encode(_Body(TOKEN_VERSION, floors))
         signed = self._sign(body, key=self._keys[0]) + body
         return base64.urlsafe_b64encode(signed).decode()
 
@@ -70,18 +116,20 @@
             InvalidTokenError: The text is not a token of this deployment.
         """
         if len(text) > MAX_TOKEN_CHARS:
-            raise InvalidTokenError(f"token of {len(text)} characters is too long")
+            raise InvalidTokenError(
+                f"token of {len(text)} characters, expected at most {MAX_TOKEN_CHARS}"
+            )
+        shown = repr(text[:SHOWN_CHARS] + "...")
         try:
             signed = base64.b64decode(text, altchars=b"-_", validate=True)
         except (binascii.Error, ValueError) as exc:
-            raise InvalidTokenError(f"token {text[:16]!r}... is not base64") from exc
+            raise InvalidTokenError(f"token {shown} is not base64") from exc
         signature, body = signed[:SIGNATURE_BYTES], signed[SIGNATURE_BYTES:]
         if not any(self._matches(signature, body, key) for key in self._keys):
-            raise InvalidTokenError(f"token {text[:16]!r}... has no valid signature")
-        floors = msgspec.msgpack.decode(body, type=dict[str, tuple[int, int]])
-        return SessionToken(
-            {group: LogPosition(*position) for group, position in floors.items()}
-        )
+            raise InvalidTokenError(
+                f"token {shown} is not signed by a key in use of this deployment"
+            )
+        return _read_body(body, shown=shown)
 
     def _matches(self, signature: bytes, body: bytes, key: bytes) -> bool:
         return hmac.compare_digest(signature, self._sign(body, key=key))
@@ -89,3 +137,22 @@
     def _sign(self, body: bytes, *, key: bytes) -> bytes:
         digest = hmac.digest(key, self._deployment + b"\0" + body, hashlib.sha256)
         return digest[:SIGNATURE_BYTES]
+
+
+def _read_body(body: bytes, *, shown: str) -> SessionToken:
+    try:
+        parsed = msgspec.msgpack.decode(body, type=_Body)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as exc:
+        raise InvalidTokenError(f"token {shown} has a malformed body") from exc
+    if parsed.version != TOKEN_VERSION:
+        raise InvalidTokenError(
+            f"token {shown} has version {parsed.version}, expected {TOKEN_VERSION}"
+        )
+    if len(parsed.floors) > MAX_FLOORS:
+        raise InvalidTokenError(f"token {shown} has {len(parsed.floors)} floors")
+    for group, numbers in parsed.floors.items():
+        if not all(0 <= number <= MAX_NUMBER for number in numbers):
+            raise InvalidTokenError(f"token {shown} has floor {numbers} in {group!r}")
+    return SessionToken(
+        {group: LogPosition(*numbers) for group, numbers in parsed.floors.items()}
+    )
