Prove each read on the instance that serves it

Cause: a read could show entries that vanish with a change of primary, a session without a floor trusted an unconfirmed primary, and a stated age was checked against no clock of its own. Change: Latest, AtLeast and NotOlder say what a read demands; an attempt checks before (or by an earlier answer), reads, and checks after; failures decide whether another round can end better or the answer comes at once. Seams: ConnectionsBusyError tells a lent-out pool from a dead instance.

--- a/src/heatherpier/_proxy.py
+++ b/src/heatherpier/_proxy.py
@@ -36,7 +36,10 @@
     def __init__(self, cfg: ProxySettings, document: Document) -> None:
         self._cfg = cfg
         self._timers = LoopTimers()
-        self._reader = Reader(timers=self._timers, data_centre=cfg.data_centre)
+        self._rng = random.Random()
+        self._reader = Reader(
+            timers=self._timers, data_centre=cfg.data_centre, rng=self._rng
+        )
         self._writer = Writer(timers=self._timers)
         self._signer = TokenSigner(
             deployment=cfg.deployment,
@@ -88,6 +91,8 @@
             signer=self._signer,
             timers=self._timers,
             deadline_ms=service.deadline_ms,
+            max_age_ms=service.max_age_ms,
+            user=user,
         )
 
     async def run(self) -> None:
--- /dev/null
+++ b/src/heatherpier/reads/_freshness.py
@@ -0,0 +1,54 @@
+"""How fresh the data of a read must be."""
+
+from dataclasses import dataclass
+
+from heatherpier.groups import InstanceStatus, LogPosition
+from heatherpier.requests import Request
+
+
+@dataclass(frozen=True, slots=True)
+class Latest:
+    """All that was acknowledged before the read began; no floor is known."""
+
+
+@dataclass(frozen=True, slots=True)
+class AtLeast:
+    """All entries up to the session's floor."""
+
+    floor: LogPosition
+
+
+@dataclass(frozen=True, slots=True)
+class NotOlder:
+    """Data of at most the stated age in milliseconds."""
+
+    max_age_ms: int
+
+
+Freshness = Latest | AtLeast | NotOlder
+
+
+def freshness_of(req: Request) -> Freshness:
+    """Returns what ``req`` demands. A stated age stands in place of the floor."""
+    if req.max_age_ms is not None:
+        return NotOlder(req.max_age_ms)
+    if req.floor is not None:
+        return AtLeast(req.floor)
+    return Latest()
+
+
+def is_fresh(status: InstanceStatus, freshness: Freshness) -> bool:
+    """Tells whether an instance with ``status`` may be read from.
+
+    The adopted term and the term of the last applied entry are two things: the
+    first shows that the instance takes part in the floor's term or a later one,
+    the second that it has applied the floor's entry.
+    """
+    match freshness:
+        case Latest():
+            return status.leads()
+        case AtLeast(floor=floor):
+            in_term = status.adopted_term >= floor.term
+            return in_term and status.position >= floor
+        case NotOlder(max_age_ms=max_age_ms):
+            return status.leads() or status.age_ms <= max_age_ms
--- a/src/heatherpier/reads/_reader.py
+++ b/src/heatherpier/reads/_reader.py
@@ -1,26 +1,25 @@
-"""Serves a read from a replica where its floor or age allows."""
+"""Serves a read from the nearest instance that may answer it."""
 
-from heatherpier.groups import (
-    Group,
-    GroupError,
-    InstanceStatus,
-    LogPosition,
-    Role,
-    fetch_status,
-    wait_for_position,
-)
-from heatherpier.requests import (
-    Answer,
-    NotRunError,
-    RefusedError,
-    Request,
-    TooStaleError,
+from weakref import WeakKeyDictionary
+
+from heatherpier.groups import Group
+from heatherpier.limits import Backoff, RandomSource
+from heatherpier.reads._attempt import Attempt
+from heatherpier.reads._candidates import order_instances
+from heatherpier.reads._freshness import Freshness, freshness_of
+from heatherpier.reads._knowledge import GroupKnowledge
+from heatherpier.reads._outcomes import (
+    Failure,
+    Rejected,
+    Served,
+    final_error,
+    may_improve,
 )
+from heatherpier.requests import Answer, Request
 from heatherpier.timers import Timers
-from heatherpier.upstreams import PooledConnection, StatementError, UpstreamError
 
-BORROW_S = 0.25
-FLOOR_WAIT_S = 0.1
+# While other instances can still be asked, one gets this share of the time left.
+TRY_SHARE = 0.5
 
 
 class Reader:
@@ -29,86 +28,77 @@
     Args:
         timers: Timer service.
         data_centre: Data centre of this proxy; its replicas are asked first.
+        rng: Spreads the delays between rounds.
     """
 
-    def __init__(self, *, timers: Timers, data_centre: str) -> None:
+    def __init__(self, *, timers: Timers, data_centre: str, rng: RandomSource) -> None:
         self._timers = timers
         self._data_centre = data_centre
+        self._backoff = Backoff(rng=rng)
+        self._knowledge: WeakKeyDictionary[Group, GroupKnowledge] = WeakKeyDictionary()
 
     async def execute(self, group: Group, req: Request) -> Answer:
         """Runs a read.
 
+        Rounds over the instances go on until the deadline while one may still
+        end well. When none can, the final answer comes at once.
+
         Raises:
-            TooStaleError: No instance was fresh enough in time.
-            RefusedError: The instance refused the statement.
-            NotRunError: No instance answered in time.
+            StatementRejectedError: The instance rejected the statement.
+            TooStaleError: The instances that answer are not fresh enough.
+            OverloadedError: Every instance is busy.
+            NotRunError: No instance answered.
         """
-        ages: list[int] = []
-        for name in self._candidates(group):
-            left = req.deadline - self._timers.now()
-            if left <= 0:
-                break
-            try:
-                answer = await self._try(group, name, req, left=left, ages=ages)
-            except StatementError as exc:
-                raise RefusedError(f"{exc.message} ({exc.code})") from exc
-            except (UpstreamError, GroupError):
-                group.statuses.pop(name, None)
-                continue
-            if answer is not None:
-                return answer
-        if ages and req.max_age_ms is not None:
-            raise TooStaleError(
-                f"no instance within {req.max_age_ms} ms", available_age_ms=min(ages)
-            )
-        raise NotRunError(f"no instance of {req.group} could serve the read")
-
-    def _candidates(self, group: Group) -> list[str]:
-        def rank(name: str) -> tuple[bool, bool, str]:
-            status = group.statuses.get(name)
-            primary = status is not None and status.leads()
-            near = group.pools[name].instance.data_centre == self._data_centre
-            return (primary, not near, name)
-
-        return sorted(group.pools, key=rank)
-
-    async def _try(
-        self, group: Group, name: str, req: Request, *, left: float, ages: list[int]
-    ) -> Answer | None:
-        async with group.pools[name].borrow(timeout_s=min(left, BORROW_S)) as conn:
-            before = await self._check(conn, req, left=left)
-            group.learn(before)
-            ages.append(before.age_ms)
-            if not _satisfies(before, req):
-                return None
-            result = await conn.execute(
-                req.sql, timeout_s=req.deadline - self._timers.now()
-            )
-            after = await fetch_status(
-                conn, timeout_s=req.deadline - self._timers.now()
-            )
-            group.learn(after)
-        replica = after.role is Role.REPLICA
-        if not replica:
-            await group.acknowledge(after.position, primary=name, deadline=req.deadline)
-        return Answer(
-            result=result, position=after.position, instance=name, replica=replica
-        )
-
-    async def _check(
-        self, conn: PooledConnection, req: Request, *, left: float
-    ) -> InstanceStatus:
-        if req.floor is None or req.max_age_ms is not None:
-            return await fetch_status(conn, timeout_s=left)
-        return await wait_for_position(
-            conn, req.floor, timeout_s=min(left, FLOOR_WAIT_S)
+        freshness = freshness_of(req)
+        attempt = Attempt(
+            group=group,
+            knowledge=self._knowledge_of(group),
+            req=req,
+            freshness=freshness,
+            timers=self._timers,
         )
+        rounds = 0
+        while True:
+            rounds += 1
+            failures = await self._round(group, req, freshness, attempt, rounds=rounds)
+            if isinstance(failures, Answer):
+                return failures
+            delay_s = self._backoff.delay_s(rounds)
+            late = self._timers.now() + delay_s >= req.deadline
+            if late or not may_improve(failures, group.spec):
+                raise final_error(failures, group=req.group)
+            await self._timers.sleep(delay_s)
 
+    async def _round(
+        self,
+        group: Group,
+        req: Request,
+        freshness: Freshness,
+        attempt: Attempt,
+        *,
+        rounds: int,
+    ) -> Answer | list[Failure]:
+        failures: list[Failure] = []
+        names = order_instances(group, freshness, data_centre=self._data_centre)
+        for place, name in enumerate(names, start=1):
+            now = self._timers.now()
+            left = req.deadline - now
+            if left <= 0:
+                break
+            last = place == len(names)
+            until = req.deadline if last else now + left * TRY_SHARE
+            outcome = await attempt.run(name, until=until, patience=2.0 ** (rounds - 1))
+            match outcome:
+                case Served(answer=answer):
+                    return answer
+                case Rejected(error=error):
+                    raise error
+                case failure:
+                    failures.append(failure)
+        return failures
 
-def _satisfies(status: InstanceStatus, req: Request) -> bool:
-    floor = req.floor or LogPosition(0, 0)
-    if req.max_age_ms is not None:
-        return status.age_ms <= req.max_age_ms
-    if req.floor is None:
-        return status.leads()
-    return status.position >= floor and status.adopted_term >= floor.term
+    def _knowledge_of(self, group: Group) -> GroupKnowledge:
+        known = self._knowledge.get(group)
+        if known is None:
+            known = self._knowledge[group] = GroupKnowledge(group)
+        return known
--- a/src/heatherpier/upstreams/_errors.py
+++ b/src/heatherpier/upstreams/_errors.py
@@ -13,6 +13,10 @@
     """The instance refused a connection because its limit is reached."""
 
 
+class ConnectionsBusyError(ConnectError):
+    """All connections of the pool are lent. This tells nothing of the instance."""
+
+
 class StatementError(UpstreamError):
     """The instance answered that a statement failed.
 
