--- a/src/heatherpier/reads/_knowledge.py
+++ b/src/heatherpier/reads/_knowledge.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from heatherpier.groups import Group, InstanceStatus, Role
+from heatherpier.groups import Group, InstanceStatus, LogPosition, Role
 from heatherpier.reads._freshness import AtLeast, Freshness, Latest, NotOlder, is_fresh
 
 MS_PER_S = 1000
@@ -84,6 +84,10 @@
         position = status.position
         return position.index > self._kept.get(position.term, 0)
 
+    def note_floor(self, floor: LogPosition) -> None:
+        """Takes in a session's floor: an entry that was acknowledged or kept."""
+        self._keep(floor)
+
     def _note_kept(self, status: InstanceStatus) -> None:
         position = status.position
         follows = status.primary not in ("", status.instance)
@@ -92,8 +96,10 @@
             and follows
             and status.adopted_term == position.term
         )
-        if not held_in_term or self._group.spec.majority > PAIR:
-            return
+        if held_in_term and self._group.spec.majority <= PAIR:
+            self._keep(position)
+
+    def _keep(self, position: LogPosition) -> None:
         known = self._kept.get(position.term, 0)
         self._kept[position.term] = max(known, position.index)
         while len(self._kept) > TERMS_KEPT:
--- a/src/heatherpier/reads/_reader.py
+++ b/src/heatherpier/reads/_reader.py
@@ -50,9 +50,12 @@
             NotRunError: No instance answered.
         """
         freshness = freshness_of(req)
+        knowledge = self._knowledge_of(group)
+        if req.floor is not None:
+            knowledge.note_floor(req.floor)
         attempt = Attempt(
             group=group,
-            knowledge=self._knowledge_of(group),
+            knowledge=knowledge,
             req=req,
             freshness=freshness,
             timers=self._timers,
--- /dev/null
+++ b/src/heatherpier/reads/tests/conftest.py
@@ -0,0 +1,92 @@
+"""Callers of a group in memory, for the tests of reads."""
+
+import random
+from dataclasses import dataclass
+
+import pytest
+
+from heatherpier._session import Session
+from heatherpier.bench._cluster import DATA_CENTRES, GROUP, MemoryGroup
+from heatherpier.groups import Group, LogPosition
+from heatherpier.reads import Reader
+from heatherpier.requests import Request
+from heatherpier.sessions import TokenSigner
+from heatherpier.timers import Timers
+from heatherpier.writes import Writer
+
+DATABASE = GROUP.replace("-", "_")
+
+
+@dataclass
+class Desk:
+    """One proxy's view of the group, and what a caller does through it."""
+
+    group: Group
+    reader: Reader
+    timers: Timers
+    session: Session
+
+    async def run(self, sql, **hints):
+        result = await self.session.execute(sql, database=DATABASE, hints=hints)
+        return list(result.rows)
+
+    async def token(self):
+        ((text,),) = await self.run("SELECT @heatherpier_token")
+        return text
+
+    async def read(self, sql="SELECT v FROM t", *, within_s=5.0, **fields):
+        """Runs a read by the reader alone and returns its answer."""
+        req = Request(
+            sql=sql, group=GROUP, deadline=self.timers.now() + within_s, **fields
+        )
+        return await self.reader.execute(self.group, req)
+
+
+@dataclass
+class Field:
+    """The group and the desks that use it."""
+
+    memory: MemoryGroup
+    timers: Timers
+    first_position: LogPosition = LogPosition(1, 3)
+
+    def desk(self, peer="proxy-1", *, place=0):
+        group = self.memory.view(peer)
+        reader = Reader(
+            timers=self.timers,
+            data_centre=DATA_CENTRES[place],
+            rng=random.Random(7),
+        )
+        session = Session(
+            groups={DATABASE: group},
+            reader=reader,
+            writer=Writer(timers=self.timers),
+            signer=TokenSigner(deployment="sen-vang", keys=(b"k" * 16,)),
+            timers=self.timers,
+            deadline_ms=5000,
+            user="dispatch",
+        )
+        return Desk(group, reader, self.timers, session)
+
+    async def change_primary(self, to, *, voters=None):
+        """Makes instance ``to`` the primary of the next term."""
+        instances = self.memory.instances
+        term = max(item.adopted_term for item in instances) + 1
+        voters = [instances[place] for place in voters or range(len(instances))]
+        for item in voters:
+            item.adopt(term, "test")
+        instances[to].promote(term, "test")
+        for item in voters:
+            item.follow(term, instances[to].name)
+
+
+@pytest.fixture
+async def field(memory_group, timers):
+    """Returns a group with a table ``t`` whose one row, 0, is on all instances."""
+    built = Field(memory_group, timers)
+    setup = built.desk("setup")
+    await setup.group.refresh()
+    await setup.run("CREATE TABLE t (v INT)")
+    await setup.run("INSERT INTO t VALUES (0)")
+    await timers.sleep(1)
+    return built
