Name busy pools and rejected statements as the writes do

Change: PoolBusyError and StatementRejectedError have the form that writes use, so both slices share them.

--- a/src/heatherpier/reads/_attempt.py
+++ b/src/heatherpier/reads/_attempt.py
@@ -24,7 +24,7 @@
 from heatherpier.requests import Answer, Request, StatementRejectedError
 from heatherpier.timers import Timers
 from heatherpier.upstreams import (
-    ConnectionsBusyError,
+    PoolBusyError,
     PooledConnection,
     Result,
     StatementError,
@@ -91,7 +91,7 @@
                     return Behind(before.status)
                 result = await self._read(conn, until=until)
                 after = await self._ask(conn, until=until)
-        except ConnectionsBusyError:
+        except PoolBusyError:
             return Full(RETRY_AFTER_BUSY_MS)
         except (UpstreamError, GroupError) as exc:
             self._group.report_failure(name)
--- a/src/heatherpier/requests/_errors.py
+++ b/src/heatherpier/requests/_errors.py
@@ -72,6 +72,28 @@
     label = "refused"
 
 
+class StatementRejectedError(RefusedError):
+    """The instance rejected the statement, which had no effect.
+
+    The caller gets the instance's own error number, SQLSTATE and sentence.
+
+    Args:
+        code: MySQL error number, such as 1062 for a duplicate key.
+        sqlstate: Five-character SQLSTATE.
+        message: The instance's sentence.
+    """
+
+    def __init__(self, *, code: int, sqlstate: str, message: str) -> None:
+        super().__init__(message)
+        self.code = code
+        self.sqlstate = sqlstate
+
+    @property
+    def message(self) -> str:
+        """The instance's sentence."""
+        return self.reason
+
+
 class ReadOnlyError(FinalError):
     """The statement was not run because the group has no primary."""
 
@@ -102,26 +124,3 @@
         if available_age_ms is not None:
             reason = f"{reason}; an age of {available_age_ms} ms can be had"
         super().__init__(reason, retry_after_ms=retry_after_ms)
-
-
-class StatementRejectedError(FinalError):
-    """The instance rejected the statement, which had no effect.
-
-    The caller gets the instance's own answer, as if it had asked the instance.
-
-    Attributes:
-        code: The instance's MySQL error number.
-        sqlstate: The instance's SQLSTATE.
-    """
-
-    label = "rejected"
-
-    def __init__(self, *, code: int, sqlstate: str, message: str) -> None:
-        self.code = code
-        self.sqlstate = sqlstate
-        super().__init__(message)
-
-    @property
-    def message(self) -> str:
-        """The instance's own sentence."""
-        return self.reason
--- a/src/heatherpier/upstreams/_errors.py
+++ b/src/heatherpier/upstreams/_errors.py
@@ -13,8 +13,8 @@
     """The instance refused a connection because its limit is reached."""
 
 
-class ConnectionsBusyError(ConnectError):
-    """All connections of the pool are lent. This tells nothing of the instance."""
+class PoolBusyError(ConnectError):
+    """All connections that this proxy may open to the instance are lent."""
 
 
 class StatementError(UpstreamError):
--- a/src/heatherpier/upstreams/_pool.py
+++ b/src/heatherpier/upstreams/_pool.py
@@ -9,7 +9,7 @@
     AnswerTimeoutError,
     ConnectError,
     ConnectionLostError,
-    ConnectionsBusyError,
+    PoolBusyError,
     StatementError,
     UpstreamError,
 )
@@ -96,16 +96,13 @@
             timeout_s: Longest wait for a free connection, in seconds.
 
         Raises:
-            ConnectionsBusyError: All connections stayed lent.
             ConnectError: No connection could be had in time. Nothing was sent.
         """
         try:
             async with self._timers.timeout(timeout_s):
                 await self._free.acquire()
         except TimeoutError as exc:
-            raise ConnectionsBusyError(
-                f"{self.instance.name}: all connections busy"
-            ) from exc
+            raise PoolBusyError(f"{self.instance.name}: all connections busy") from exc
         try:
             conn = await self._checkout(timeout_s=timeout_s)
             try:
