--- a/src/heatherpier/_proxy.py
+++ b/src/heatherpier/_proxy.py
@@ -36,8 +36,8 @@
     def __init__(self, cfg: ProxySettings, document: Document) -> None:
         self._cfg = cfg
         self._timers = LoopTimers()
-        self._reader = Reader(timers=self._timers, data_centre=cfg.data_centre)
         rng = random.SystemRandom()
+        self._reader = Reader(timers=self._timers, data_centre=cfg.data_centre, rng=rng)
         keys = KeyMaker(proxy=cfg.name, rng=rng, timers=self._timers)
         self._writer = Writer(timers=self._timers, keys=keys, rng=rng)
         self._signer = TokenSigner(
@@ -90,6 +90,8 @@
             signer=self._signer,
             timers=self._timers,
             deadline_ms=service.deadline_ms,
+            max_age_ms=service.max_age_ms,
+            user=user,
         )
 
     async def run(self) -> None:
