Add the demo, its open-loop load and the checker of histories

The demo starts a deployment on loopback, drives the user's mix through asyncmy with sessions that roam, kills and pauses primaries, stops and kills proxies, and compares what callers saw with the logs that the instances hold. Arrivals follow their own clock, so a stall is counted. Read shares come from counters of the instances. A class of which nothing was served fails the run too, because nothing of it was checked.

Stand-in: `CALL group_log(after, limit)` and `CALL group_reads()`.

Each of the six checks fails on its seeded fault (test_checker.py).

--- a/src/heatherpier/_cli.py
+++ b/src/heatherpier/_cli.py
@@ -4,16 +4,21 @@
   heatherpier proxy --settings=FILE
   heatherpier check DOCUMENT
   heatherpier bench instance --settings=FILE
+  heatherpier bench demo [--deployment=NAME] [--proxies=N] [--seed=N]
   heatherpier version
   heatherpier (-h | --help)
 
 Options:
-  --settings=FILE  JSON file with the settings of the process.
-  -h --help        Show this text.
+  --settings=FILE    JSON file with the settings of the process.
+  --deployment=NAME  sen-vang or lantern-ledger [default: sen-vang].
+  --proxies=N        Count of proxies [default: 4].
+  --seed=N           Seed of all random choices; a new one if not given.
+  -h --help          Show this text.
 
 Examples:
   heatherpier check examples/document.json
   heatherpier proxy --settings=examples/proxy.json
+  heatherpier bench demo --deployment=lantern-ledger --proxies=12 --seed=7
 
 Exit codes:
   0  done
@@ -30,7 +35,7 @@
 
 from heatherpier import __version__
 from heatherpier._proxy import Proxy
-from heatherpier.bench import run_instance
+from heatherpier.bench import run_bench
 from heatherpier.settings import InvalidSettingsError, load_document, load_settings
 from heatherpier.telemetry import JsonHandler
 
@@ -57,9 +62,8 @@
         document = load_document(Path(args["DOCUMENT"]))
         print(f"valid: {len(document.services)} services")
         return EXIT_OK
-    if args["instance"]:
-        asyncio.run(run_instance(Path(args["--settings"])))
-        return EXIT_OK
+    if args["bench"]:
+        return run_bench(args)
     return _run_proxy(Path(args["--settings"]))
 
 
--- a/src/heatherpier/bench/__init__.py
+++ b/src/heatherpier/bench/__init__.py
@@ -1,6 +1,7 @@
 """Stand-ins for the systems around the proxy, and the tools that drive it."""
 
 from heatherpier.bench._cluster import MemoryGroup, start_memory_group
+from heatherpier.bench._commands import run_bench
 from heatherpier.bench._instance import Instance, InstanceFaults
 from heatherpier.bench._instance_server import run_instance, serve_instance
 from heatherpier.bench._memory import MemoryNetwork
@@ -17,6 +18,7 @@
     "MemoryNetwork",
     "MemoryPlatform",
     "free_ports",
+    "run_bench",
     "run_instance",
     "run_platform",
     "serve_instance",
--- a/src/heatherpier/bench/_dialog.py
+++ b/src/heatherpier/bench/_dialog.py
@@ -3,7 +3,7 @@
 import re
 
 from heatherpier.bench._instance import Instance
-from heatherpier.groups import InstanceStatus, LogPosition
+from heatherpier.groups import InstanceStatus, LogPosition, Role
 from heatherpier.upstreams import Column, Result, StatementError
 
 CALL = re.compile(r"CALL\s+group_(\w+)\s*\((.*)\)\s*;?$", re.IGNORECASE | re.DOTALL)
@@ -72,6 +72,7 @@
         async with self._instance.slots:
             if word in READ_WORDS:
                 held = self._term is not None
+                self._instance.count_read(sql)
                 return self._instance.engine.read(sql, in_transaction=held)
             return await self._write(sql)
 
@@ -156,6 +157,11 @@
                 fetched = await instance.serve_fetch(int(term), after)
                 found_after, body, at_end = fetched.rows[0]
                 return _row(found=found_after, entries=body, at_end=at_end)
+            case "log", [after, limit]:
+                return _row(entries=instance.log_json(int(after), limit=int(limit)))
+            case "reads", []:
+                counts = instance.reads
+                return _row(primary=counts[Role.PRIMARY], replica=counts[Role.REPLICA])
             case _:
                 raise StatementError(
                     code=UNKNOWN_PROCEDURE,
--- a/src/heatherpier/bench/_fleet.py
+++ b/src/heatherpier/bench/_fleet.py
@@ -1,5 +1,6 @@
 """A whole deployment as real processes: instances, then proxies."""
 
+import asyncio
 import json
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -12,6 +13,8 @@
     hash_password,
 )
 from heatherpier.bench._processes import Process, Processes, free_ports
+from heatherpier.settings import load_document
+from heatherpier.upstreams import Instance
 
 
 @dataclass(slots=True)
@@ -22,12 +25,14 @@
         deployment: What was started.
         processes: All processes by name.
         instances: Names of instance processes by group.
+        addresses: Addresses of the instances by group.
         proxies: The proxies.
     """
 
     deployment: Deployment
     processes: Processes
     instances: dict[str, list[Process]] = field(default_factory=dict)
+    addresses: dict[str, list[Instance]] = field(default_factory=dict)
     proxies: list[Process] = field(default_factory=list)
 
 
@@ -58,15 +63,19 @@
                 "instances": models,
             }
         )
-        fleet.instances[group] = [
-            await _start_instance(fleet, models, place) for place in range(len(models))
-        ]
+        fleet.addresses[group] = [Instance(**model) for model in models]
+        fleet.instances[group] = await asyncio.gather(
+            *(_start_instance(fleet, models, place) for place in range(len(models)))
+        )
     document = directory / "document.json"
     document.write_text(json.dumps(_document(deployment, groups)), encoding="utf-8")
-    for number, port in enumerate(free_ports(proxies)):
-        fleet.proxies.append(
-            await _start_proxy(fleet, number, port, document=document, count=proxies)
+    load_document(document)
+    fleet.proxies = await asyncio.gather(
+        *(
+            _start_proxy(fleet, number, port, document=document, count=proxies)
+            for number, port in enumerate(free_ports(proxies))
         )
+    )
     return fleet
 
 
--- a/src/heatherpier/bench/_instance.py
+++ b/src/heatherpier/bench/_instance.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+from collections import Counter
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
@@ -81,6 +82,7 @@
         self.timers = timers
         self.engine = Engine()
         self.log: list[LogEntry] = []
+        self.reads: Counter[Role] = Counter()
         self.role = Role.REPLICA
         self.adopted_term = 0
         self.proposer = ""
@@ -249,6 +251,17 @@
         self._grew.set()
         self._grew = asyncio.Event()
 
+    # What the bench asks
+
+    def count_read(self, sql: str) -> None:
+        """Counts a caller's read of a table by the role it is served in."""
+        if " from " in sql.lower() and "heatherpier" not in sql.lower():
+            self.reads[self.role] += 1
+
+    def log_json(self, after: int, *, limit: int) -> str:
+        """Returns entries of the log after index ``after`` as JSON."""
+        return _to_json(self.log[after : after + limit])
+
     # Replication
 
     async def serve_fetch(self, term: int, after: LogPosition) -> Result:
@@ -263,7 +276,7 @@
         await self.wait_for(LogPosition(term, after.index + 1), timeout_s=FETCH_IDLE_S)
         self._require_log_of(term)
         entries = self.log[after.index : after.index + FETCH_LIMIT]
-        body = json.dumps([[e.term, e.index, list(e.statements)] for e in entries])
+        body = _to_json(entries)
         # A fenced primary can't know what a later one has written.
         complete = after.index + len(entries) == len(self.log)
         at_end = int(complete and self.role is Role.PRIMARY)
@@ -353,3 +366,7 @@
     def _truncate(self, length: int) -> None:
         del self.log[length:]
         self.engine.reset(self.log)
+
+
+def _to_json(entries: Sequence[LogEntry]) -> str:
+    return json.dumps([[e.term, e.index, list(e.statements)] for e in entries])
