Drain callers between statements at a planned stop

Cause: SIGTERM closed the listener and the process, cutting what ran. The library's command loop also goes on after a failed login and waits for packets of any size and age. Ruled out: subclassing the library's stream (compiled, not subclassable); closing the sending side at once (asyncmy then reports 2006 without reading the shutdown error). Change: a command loop and a bounded stream of our own around the library's handlers; readiness, status, metrics and log level over an admin port.

--- a/src/heatherpier/_cli.py
+++ b/src/heatherpier/_cli.py
@@ -67,6 +67,6 @@
     cfg = load_settings(path, environment=os.environ)
     document = load_document(Path(cfg.document))
     fields = {"proxy": cfg.name, "data_centre": cfg.data_centre}
-    with JsonHandler(level=cfg.log_level, fields=fields).applicationbound():
-        asyncio.run(Proxy(cfg, document).run())
-    return EXIT_OK
+    handler = JsonHandler(level=cfg.log_level, fields=fields)
+    with handler.applicationbound():
+        return asyncio.run(Proxy(cfg, document, log_handler=handler).run())
--- a/src/heatherpier/callers/__init__.py
+++ b/src/heatherpier/callers/__init__.py
@@ -1,7 +1,11 @@
 """The border with callers: the MySQL protocol."""
 
-from heatherpier.callers._listener import CallerSession, Listener
+from heatherpier.callers._configure import limits_of, ssl_context_of
+from heatherpier.callers._errors import CallerError
+from heatherpier.callers._limits import CallerLimits
+from heatherpier.callers._listener import Listener
 from heatherpier.callers._packets import PacketAdapter
+from heatherpier.callers._session import CallerSession
 from heatherpier.callers._statements import (
     Begin,
     Commit,
@@ -19,6 +23,8 @@
 
 __all__ = [
     "Begin",
+    "CallerError",
+    "CallerLimits",
     "CallerSession",
     "Commit",
     "Ignored",
@@ -33,4 +39,6 @@
     "Unsupported",
     "Write",
     "classify",
+    "limits_of",
+    "ssl_context_of",
 ]
--- /dev/null
+++ b/src/heatherpier/callers/tests/raw.py
@@ -0,0 +1,84 @@
+"""A caller that writes its own bytes."""
+
+import asyncio
+import hashlib
+
+PROTOCOL_41 = 0x0200
+SECURE_CONNECTION = 0x8000
+PLUGIN_AUTH = 0x80000
+CONNECT_WITH_DB = 0x0008
+UTF8MB4 = 45
+
+
+def frame(payload, *, number=0):
+    return len(payload).to_bytes(3, "little") + bytes([number]) + payload
+
+
+def scramble(password, nonce):
+    stage1 = hashlib.sha1(password.encode()).digest()
+    mask = hashlib.sha1(nonce + hashlib.sha1(stage1).digest()).digest()
+    return bytes(a ^ b for a, b in zip(stage1, mask, strict=True))
+
+
+class RawCaller:
+    """One connection to the listener."""
+
+    def __init__(self, reader, writer):
+        self.reader = reader
+        self.writer = writer
+
+    @classmethod
+    async def open(cls, port):
+        return cls(*await asyncio.open_connection("127.0.0.1", port))
+
+    @classmethod
+    async def login(cls, port, *, user="dispatch", password="secret"):
+        self = await cls.open(port)
+        _, greeting = await self.read()
+        nonce = nonce_of(greeting)
+        self.writer.write(frame(login_packet(user, password, nonce), number=1))
+        _, answer = await self.read()
+        assert answer[0] == 0, answer
+        return self
+
+    async def read(self):
+        """Returns the number and payload of the next packet."""
+        header = await self.reader.readexactly(4)
+        size = int.from_bytes(header[:3], "little")
+        return header[3], await self.reader.readexactly(size)
+
+    async def read_error(self):
+        """Returns the code of the next packet, which must be an error."""
+        _, payload = await self.read()
+        assert payload[0] == 0xFF, payload
+        return int.from_bytes(payload[1:3], "little")
+
+    async def ended(self):
+        """Reads until the proxy closes the connection."""
+        try:
+            while await self.reader.read(65536):
+                pass
+        except ConnectionError:
+            pass
+        self.writer.close()
+
+
+def nonce_of(greeting):
+    at = greeting.index(b"\0", 1) + 5
+    return greeting[at : at + 8] + greeting[at + 27 : at + 39]
+
+
+def login_packet(user, password, nonce):
+    flags = PROTOCOL_41 | SECURE_CONNECTION | PLUGIN_AUTH
+    proof = scramble(password, nonce)
+    return (
+        flags.to_bytes(4, "little")
+        + (1 << 24).to_bytes(4, "little")
+        + bytes([UTF8MB4])
+        + bytes(23)
+        + user.encode()
+        + b"\0"
+        + bytes([len(proof)])
+        + proof
+        + b"mysql_native_password\0"
+    )
--- a/src/heatherpier/settings/__init__.py
+++ b/src/heatherpier/settings/__init__.py
@@ -10,15 +10,23 @@
 )
 from heatherpier.settings._errors import InvalidSettingsError
 from heatherpier.settings._load import load_document, load_model, load_settings
-from heatherpier.settings._process import ProxySettings
+from heatherpier.settings._process import (
+    AdminModel,
+    CallersModel,
+    ProxySettings,
+    StopModel,
+)
 
 __all__ = [
+    "AdminModel",
+    "CallersModel",
     "Document",
     "GroupModel",
     "InstanceModel",
     "InvalidSettingsError",
     "ProxySettings",
     "ServiceModel",
+    "StopModel",
     "StrictModel",
     "UserModel",
     "load_document",
--- a/src/heatherpier/telemetry/__init__.py
+++ b/src/heatherpier/telemetry/__init__.py
@@ -1,5 +1,6 @@
-"""Structured logs for every slice."""
+"""Structured logs, metrics and the admin endpoint."""
 
+from heatherpier.telemetry._admin import AdminServer
 from heatherpier.telemetry._logs import JsonHandler, get_logger
 
-__all__ = ["JsonHandler", "get_logger"]
+__all__ = ["AdminServer", "JsonHandler", "get_logger"]
--- a/src/heatherpier/telemetry/_logs.py
+++ b/src/heatherpier/telemetry/_logs.py
@@ -33,6 +33,14 @@
         self._fields = fields or {}
         self._encoder = msgspec.json.Encoder(enc_hook=str)
 
+    def set_level(self, level: str) -> None:
+        """Changes the least level that is written.
+
+        Raises:
+            LookupError: There is no such level.
+        """
+        self.level = logbook.lookup_level(level)
+
     def emit(self, record: logbook.LogRecord) -> None:
         """Writes ``record``."""
         line: dict[str, Any] = {
