Leave an instance's slots to the holder of its lock

Cause: in the stand-in a statement that waited for the write lock held one of the three slots; three waiters kept the lock's holder from its next statement until their waits timed out. Six callers on one proxy then got 37 of 180 writes through; the others were given up as not run or read only.

Ruled out: the proxy's pools and watcher; the instance alone shows it.

Change: the lock is taken before a slot.

Before: 37 of 180 writes, and the stop test fails with 7005. After: 180 of 180 in 4.0 s, the stop test passes; the new test fails without the change.

--- a/src/heatherpier/bench/_dialog.py
+++ b/src/heatherpier/bench/_dialog.py
@@ -69,12 +69,17 @@
                 return Result()
             case "SET":
                 return self._set(sql)
-        async with self._instance.slots:
-            if word in READ_WORDS:
+        if word in READ_WORDS:
+            async with self._instance.slots:
                 held = self._term is not None
                 self._instance.count_read(sql)
                 return self._instance.engine.read(sql, in_transaction=held)
-            return await self._write(sql)
+        if self._term is None:
+            # A statement that waits for a lock holds no slot, or the waiting
+            # ones would keep the lock's holder from its next statement.
+            await self._open_write()
+        async with self._instance.slots:
+            return self._write(sql)
 
     def rollback(self) -> None:
         """Undoes the open transaction, if any."""
@@ -94,9 +99,7 @@
             self._autocommit = found[1].upper() in ("1", "ON", "TRUE")
         return Result()
 
-    async def _write(self, sql: str) -> Result:
-        if self._term is None:
-            await self._open_write()
+    def _write(self, sql: str) -> Result:
         try:
             self._instance.require_primary(self._term)
             result = self._instance.engine.write(sql)
