Prove changes of primary by a fault table under virtual time

Cause: the change of primary had only trials. They showed: hold-off that ended made two ranks propose at once; the stand-in's replication hung up to 2 s on a lost primary; a write to a primary that came back in an old term waited for its whole deadline; a paused stand-in could still answer a fetch; a transaction of an old term kept the stand-in's write lock. Change: hold-off gives the moment at which evidence ran out; waits end when a majority (with the primary) is known to have left the term; replication follows at once; stand-in faults mended, with tests; fault table, planned change, directory faults, baseline.

--- a/src/heatherpier/bench/__init__.py
+++ b/src/heatherpier/bench/__init__.py
@@ -1,6 +1,14 @@
 """Stand-ins for the systems around the proxy, and the tools that drive it."""
 
 from heatherpier.bench._cluster import MemoryGroup, start_memory_group
+from heatherpier.bench._directory import MemoryDirectory
+from heatherpier.bench._failover import (
+    FailoverCluster,
+    Loss,
+    LossResult,
+    measure_loss,
+    start_failover_cluster,
+)
 from heatherpier.bench._instance import Instance, InstanceFaults
 from heatherpier.bench._instance_server import run_instance, serve_instance
 from heatherpier.bench._memory import MemoryNetwork
@@ -10,16 +18,22 @@
 from heatherpier.bench._processes import free_ports
 
 __all__ = [
+    "FailoverCluster",
     "Instance",
     "InstanceFaults",
+    "Loss",
+    "LossResult",
+    "MemoryDirectory",
     "MemoryFleet",
     "MemoryGroup",
     "MemoryNetwork",
     "MemoryPlatform",
     "free_ports",
+    "measure_loss",
     "run_instance",
     "run_platform",
     "serve_instance",
     "serve_platform",
+    "start_failover_cluster",
     "start_memory_group",
 ]
--- /dev/null
+++ b/src/heatherpier/bench/_baseline.py
@@ -0,0 +1,75 @@
+"""Failure detection by a fixed time-out, as a baseline for measurements."""
+
+import random
+
+from heatherpier.bench._cluster import MemoryGroup
+from heatherpier.groups import (
+    Group,
+    GroupError,
+    NoPrimaryError,
+    Promoter,
+    fetch_status,
+)
+from heatherpier.timers import Timers
+from heatherpier.upstreams import UpstreamError
+
+POLL_PERIOD_S = 0.5
+FIXED_TIMEOUT_S = 3.0
+RANK_STEP_S = 0.25
+ANSWER_S = 0.5
+
+
+def start_fixed_timeout_watcher(
+    cluster: MemoryGroup, peer: str, *, rank: int, connections: int
+) -> Group:
+    """Returns the group as ``peer`` sees it, with the baseline's watcher.
+
+    Args:
+        cluster: The instances.
+        peer: Name of the proxy; it seeds its random numbers too.
+        rank: Its place among the proposers.
+        connections: Connections that it may open to each instance.
+    """
+    group = cluster.view(peer, connections=connections)
+    timers = cluster.network.timers
+    promoter = Promoter(group, proxy=peer, timers=timers, rng=random.Random(peer))
+    watcher = _FixedTimeoutWatcher(group, promoter, timers=timers, rank=rank)
+    group.start(watcher.run())
+    return group
+
+
+class _FixedTimeoutWatcher:
+    """Replaces a primary that has not answered a poll for a fixed time."""
+
+    def __init__(
+        self, group: Group, promoter: Promoter, *, timers: Timers, rank: int
+    ) -> None:
+        self._group = group
+        self._promoter = promoter
+        self._timers = timers
+        self._patience_s = FIXED_TIMEOUT_S + rank * RANK_STEP_S
+        self._led_at = timers.now()
+
+    async def run(self) -> None:
+        async for now in self._timers.every(POLL_PERIOD_S):
+            for name in self._group.pools:
+                await self._poll(name)
+            try:
+                self._group.primary()
+                self._led_at = self._timers.now()
+            except NoPrimaryError:
+                if now - self._led_at > self._patience_s:
+                    await self._replace()
+
+    async def _poll(self, name: str) -> None:
+        try:
+            async with self._group.pools[name].borrow(timeout_s=ANSWER_S) as conn:
+                self._group.learn(await fetch_status(conn, timeout_s=ANSWER_S))
+        except (UpstreamError, GroupError):
+            self._group.forget(name)
+
+    async def _replace(self) -> None:
+        try:
+            await self._promoter.replace_primary(cause="fixed time-out")
+        except GroupError:
+            return
--- a/src/heatherpier/bench/_dialog.py
+++ b/src/heatherpier/bench/_dialog.py
@@ -53,6 +53,13 @@
             StatementError: It was refused and had no effect.
         """
         await self._instance.until_resumed()
+        try:
+            return await self._run(sql)
+        finally:
+            # A paused process sends no answer either.
+            await self._instance.until_resumed()
+
+    async def _run(self, sql: str) -> Result:
         if self._instance.faults.slow_ms:
             await self._instance.timers.sleep(self._instance.faults.slow_ms / 1000)
         word = sql.split(None, 1)[0].upper().rstrip(";") if sql.strip() else ""
@@ -78,8 +85,7 @@
     def rollback(self) -> None:
         """Undoes the open transaction, if any."""
         if self._term is not None:
-            self._instance.engine.rollback()
-            self._instance.unlock_writer()
+            self._instance.abandon(self._term)
         self._forget()
 
     def _forget(self) -> None:
@@ -95,7 +101,7 @@
 
     async def _write(self, sql: str) -> Result:
         if self._term is None:
-            await self._open_write()
+            self._term = await self._instance.begin_write()
         try:
             self._instance.require_primary(self._term)
             result = self._instance.engine.write(sql)
@@ -108,16 +114,6 @@
             self._commit()
         return result
 
-    async def _open_write(self) -> None:
-        self._instance.require_primary()
-        await self._instance.lock_writer()
-        try:
-            self._term = self._instance.require_primary()
-        except StatementError:
-            self._instance.unlock_writer()
-            raise
-        self._instance.engine.begin()
-
     def _commit(self) -> Result:
         if self._term is None:
             self._forget()
@@ -128,7 +124,6 @@
             self.rollback()
             raise
         self._last_commit = self._instance.commit(tuple(self._statements))
-        self._instance.unlock_writer()
         self._forget()
         return Result()
 
--- /dev/null
+++ b/src/heatherpier/bench/_directory.py
@@ -0,0 +1,64 @@
+"""A directory of primaries in memory, with the faults of the platform's store."""
+
+from dataclasses import dataclass
+
+from heatherpier.groups import DirectoryError, DirectoryRecord
+from heatherpier.timers import Timers
+
+
+@dataclass(slots=True)
+class DirectoryFaults:
+    """Switches of the directory.
+
+    Attributes:
+        down: Nothing is answered and nothing is stored.
+        delay_s: Time that each answer takes, in seconds.
+        lose_answers: Count of coming answers to ``record`` that are lost after
+            the effect.
+        stale_reads: Reads return the record before the present one.
+    """
+
+    down: bool = False
+    delay_s: float = 0.002
+    lose_answers: int = 0
+    stale_reads: bool = False
+
+
+class MemoryDirectory:
+    """Implements `heatherpier.groups.Directory`.
+
+    Args:
+        timers: Timer service.
+    """
+
+    def __init__(self, *, timers: Timers) -> None:
+        self.faults = DirectoryFaults()
+        self.history: dict[str, list[DirectoryRecord]] = {}
+        self._timers = timers
+
+    async def read(self, group: str) -> DirectoryRecord | None:
+        """Returns the record of a group, or None if it has none."""
+        await self._answer()
+        records = self.history.get(group, [])
+        if self.faults.stale_reads:
+            records = records[:-1]
+        return records[-1] if records else None
+
+    async def record(
+        self, record: DirectoryRecord, *, expected_term: int | None
+    ) -> bool:
+        """Replaces a group's record if the stored one is of ``expected_term``."""
+        await self._answer()
+        records = self.history.setdefault(record.group, [])
+        stored_term = records[-1].term if records else None
+        if stored_term == expected_term:
+            records.append(record)
+        if self.faults.lose_answers:
+            self.faults.lose_answers -= 1
+            raise DirectoryError("connection reset")
+        return stored_term == expected_term
+
+    async def _answer(self) -> None:
+        await self._timers.sleep(self.faults.delay_s)
+        if self.faults.down:
+            raise DirectoryError("connection refused")
--- /dev/null
+++ b/src/heatherpier/bench/_failover.py
@@ -0,0 +1,334 @@
+"""Losses of a primary under virtual time, with callers that write all along."""
+
+import asyncio
+import contextlib
+import random
+from dataclasses import dataclass, field, replace
+from enum import Enum
+from itertools import pairwise
+
+from heatherpier.bench._baseline import start_fixed_timeout_watcher
+from heatherpier.bench._cluster import MemoryGroup, start_memory_group
+from heatherpier.bench._directory import MemoryDirectory
+from heatherpier.bench._instance import Instance
+from heatherpier.groups import (
+    Group,
+    GroupError,
+    LogPosition,
+    NotAcknowledgedError,
+    fetch_last_commit,
+)
+from heatherpier.timers import Timers
+from heatherpier.upstreams import UpstreamError
+
+REGION_DELAY_S = 0.012
+LAG_MS = 50
+WRITE_PERIOD_S = 0.02
+WRITE_BUDGET_S = 5.0
+STATEMENT_S = 1.0
+BORROW_S = 0.25
+WARM_UP_S = 2.0
+# The moment of the loss is drawn from this span after the warm-up, in seconds.
+MOMENT_S = 1.0
+LONGEST_GAP_S = 20.0
+SETTLE_S = 6.0
+
+
+class Loss(Enum):
+    """Ways in which a primary is lost."""
+
+    CRASH = "crash"
+    PAUSE = "pause"
+    CUT_FROM_ALL = "cut from all"
+    CUT_FROM_PROXIES = "cut from proxies"
+    CUT_FROM_REPLICAS = "cut from replicas"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class AcknowledgedWrite:
+    """A write that a caller was told of.
+
+    Attributes:
+        value: What it inserted.
+        position: Its log position.
+        at: Monotonic time in seconds of the acknowledgement.
+    """
+
+    value: str
+    position: LogPosition
+    at: float
+
+
+class WritingCaller:
+    """Inserts one row after another through one proxy's view of a group.
+
+    Args:
+        name: Name that makes its rows unique.
+        group: The proxy's view.
+        timers: Timer service.
+    """
+
+    def __init__(self, name: str, group: Group, *, timers: Timers) -> None:
+        self.acknowledged: list[AcknowledgedWrite] = []
+        self._name = name
+        self._group = group
+        self._timers = timers
+
+    async def run(self) -> None:
+        """Writes for as long as the task runs."""
+        number = 0
+        while True:
+            number += 1
+            with contextlib.suppress(GroupError):
+                await self._write(f"{self._name}-{number}")
+            await self._timers.sleep(WRITE_PERIOD_S)
+
+    async def _write(self, value: str) -> None:
+        group = self._group
+        deadline = self._timers.now() + WRITE_BUDGET_S
+        primary = (await group.wait_for_primary(deadline=deadline)).instance
+        try:
+            async with group.pools[primary].borrow(timeout_s=BORROW_S) as conn:
+                sql = f"INSERT INTO claims VALUES ('{value}')"
+                await conn.execute(sql, timeout_s=STATEMENT_S)
+                position = await fetch_last_commit(conn, timeout_s=STATEMENT_S)
+        except UpstreamError:
+            group.report_failure(primary)
+            return
+        await group.acknowledge(position, primary=primary, deadline=deadline)
+        self.acknowledged.append(
+            AcknowledgedWrite(value=value, position=position, at=self._timers.now())
+        )
+
+
+@dataclass(slots=True)
+class FailoverCluster:
+    """A group under watch by some proxies, each with a writing caller.
+
+    Attributes:
+        group: The instances and their network.
+        views: Each proxy's view of the group.
+        callers: One for each proxy.
+        directory: Where promotions are recorded.
+        proxies: Names of the proxies.
+    """
+
+    group: MemoryGroup
+    views: list[Group]
+    callers: list[WritingCaller]
+    directory: MemoryDirectory
+    proxies: list[str]
+    _tasks: list[asyncio.Task[None]] = field(default_factory=list)
+
+    def instance(self, name: str) -> Instance:
+        """Returns an instance by name."""
+        return self.group.network.instances[name]
+
+    def primary(self) -> Instance:
+        """Returns the primary of the highest term."""
+        leaders = [item for item in self.group.instances if item.status().leads()]
+        return max(leaders, key=lambda item: item.adopted_term)
+
+    def lose(self, loss: Loss, name: str) -> None:
+        """Brings a fault on an instance."""
+        network = self.group.network
+        match loss:
+            case Loss.CRASH:
+                network.crash(name)
+            case Loss.PAUSE:
+                self.instance(name).pause()
+            case Loss.CUT_FROM_ALL:
+                self._cut(name, self.proxies + self._others(name))
+            case Loss.CUT_FROM_PROXIES:
+                self._cut(name, self.proxies)
+            case Loss.CUT_FROM_REPLICAS:
+                self._cut(name, self._others(name))
+
+    def restore(self, name: str) -> None:
+        """Undoes every fault of an instance."""
+        network = self.group.network
+        network.restart(name)
+        self.instance(name).resume()
+        for peer in self.proxies + self._others(name):
+            network.heal(peer, name)
+
+    def leave(self, name: str) -> None:
+        """Marks an instance as leaving in every proxy's configuration."""
+        for view in self.views:
+            instances = tuple(
+                replace(item, leaving=item.leaving or item.name == name)
+                for item in view.spec.instances
+            )
+            view.spec = replace(view.spec, instances=instances)
+
+    def longest_stall_s(self) -> float:
+        """Returns the longest time in seconds that a caller had to wait for a write."""
+        return max(
+            late.at - early.at
+            for caller in self.callers
+            for early, late in pairwise(caller.acknowledged)
+        )
+
+    def lost_writes(self) -> list[str]:
+        """Returns the acknowledged writes that the present primary does not hold."""
+        log = self.primary().log
+        held = {(entry.term, entry.index): entry.statements for entry in log}
+        return [
+            write.value
+            for caller in self.callers
+            for write in caller.acknowledged
+            if write.value
+            not in str(held.get((write.position.term, write.position.index)))
+        ]
+
+    def resumed_at(self, *, after_term: int) -> float | None:
+        """Returns when the last caller had a write acknowledged in a later term.
+
+        Args:
+            after_term: The term before.
+
+        Returns:
+            Monotonic time in seconds, or None while some caller had none.
+        """
+        firsts = [
+            next(
+                (w.at for w in caller.acknowledged if w.position.term > after_term),
+                None,
+            )
+            for caller in self.callers
+        ]
+        known = [first for first in firsts if first is not None]
+        return max(known) if len(known) == len(firsts) else None
+
+    async def until_resumed(self, *, after_term: int) -> float:
+        """Waits until every caller had a write acknowledged in a later term.
+
+        Args:
+            after_term: The term before.
+
+        Returns:
+            Monotonic time in seconds of the last caller's first such write.
+
+        Raises:
+            NotAcknowledgedError: Writes had not resumed after `LONGEST_GAP_S`.
+        """
+        timers = self.group.network.timers
+        give_up_at = timers.now() + LONGEST_GAP_S
+        while (resumed_at := self.resumed_at(after_term=after_term)) is None:
+            if timers.now() > give_up_at:
+                raise NotAcknowledgedError(f"no write after term {after_term}")
+            await timers.sleep(WRITE_PERIOD_S)
+        return resumed_at
+
+    def _others(self, name: str) -> list[str]:
+        return [item.name for item in self.group.instances if item.name != name]
+
+    def _cut(self, name: str, peers: list[str]) -> None:
+        for peer in peers:
+            self.group.network.cut(peer, name)
+
+    async def close(self) -> None:
+        """Ends everything."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.group.close()
+
+
+async def start_failover_cluster(
+    timers: Timers,
+    *,
+    proxies: int = 4,
+    connections: int = 5,
+    baseline: bool = False,
+    ranked: bool = True,
+) -> FailoverCluster:
+    """Starts a group, its proxies' watchers and one writing caller for each.
+
+    Args:
+        timers: Timer service.
+        proxies: Count of proxies.
+        connections: Connections of each proxy to each instance.
+        baseline: Whether losses are found by a fixed time-out alone.
+        ranked: Whether proposers wait by rank; without, all propose at once.
+    """
+    group = start_memory_group(timers, lag_ms=LAG_MS)
+    group.network.delay_s = REGION_DELAY_S
+    directory = MemoryDirectory(timers=timers)
+    names = [f"proxy-{number + 1}" for number in range(proxies)]
+    views = [
+        start_fixed_timeout_watcher(group, name, rank=rank, connections=connections)
+        if baseline
+        else group.watch(name, rank=rank, connections=connections, directory=directory)
+        for rank, name in enumerate(names)
+    ]
+    callers = [
+        WritingCaller(name, view, timers=timers)
+        for name, view in zip(names, views, strict=True)
+    ]
+    cluster = FailoverCluster(group, views, callers, directory, names)
+    await _create_table(views[0], timers)
+    cluster._tasks = [asyncio.create_task(caller.run()) for caller in callers]
+    return cluster
+
+
+async def _create_table(view: Group, timers: Timers) -> None:
+    primary = await view.wait_for_primary(deadline=timers.now() + WRITE_BUDGET_S)
+    async with view.pools[primary.instance].borrow(timeout_s=STATEMENT_S) as conn:
+        await conn.execute(
+            "CREATE TABLE claims (value VARCHAR(64) PRIMARY KEY)",
+            timeout_s=STATEMENT_S,
+        )
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LossResult:
+    """What one loss of a primary did.
+
+    Attributes:
+        loss: How it was lost.
+        gap_s: Time in seconds until every proxy's caller could write again.
+        lost: Acknowledged writes that the group lost.
+    """
+
+    loss: Loss
+    gap_s: float
+    lost: int
+
+
+async def measure_loss(
+    timers: Timers,
+    loss: Loss,
+    *,
+    seed: int,
+    proxies: int = 4,
+    store_down: bool = False,
+    baseline: bool = False,
+) -> LossResult:
+    """Loses a primary once and measures the failover gap.
+
+    Args:
+        timers: Timer service.
+        loss: How the primary is lost.
+        seed: Seed of the moment of the loss.
+        proxies: Count of proxies.
+        store_down: Whether the directory is down all along.
+        baseline: Whether losses are found by a fixed time-out alone.
+
+    Raises:
+        NotAcknowledgedError: Writes had not resumed after `LONGEST_GAP_S`.
+    """
+    cluster = await start_failover_cluster(timers, proxies=proxies, baseline=baseline)
+    cluster.directory.faults.down = store_down
+    try:
+        await timers.sleep(WARM_UP_S + random.Random(seed).random() * MOMENT_S)
+        old = cluster.primary()
+        term, lost_at = old.adopted_term, timers.now()
+        cluster.lose(loss, old.name)
+        resumed_at = await cluster.until_resumed(after_term=term)
+        cluster.restore(old.name)
+        await timers.sleep(SETTLE_S)
+        lost = len(cluster.lost_writes())
+        return LossResult(loss=loss, gap_s=resumed_at - lost_at, lost=lost)
+    finally:
+        await cluster.close()
--- a/src/heatherpier/bench/_instance.py
+++ b/src/heatherpier/bench/_instance.py
@@ -2,8 +2,9 @@
 
 import asyncio
 import json
-from collections.abc import Sequence
+from collections.abc import Coroutine, Sequence
 from dataclasses import dataclass, field
+from typing import Any
 
 from heatherpier.bench._engine import Engine, LogEntry
 from heatherpier.groups import InstanceStatus, LogPosition, Role
@@ -38,6 +39,8 @@
         lag_ms: Delay between a commit and its arrival at this instance.
         slow_ms: Extra delay of each statement.
         drop_answers: Count of coming COMMIT answers that are lost after the effect.
+        lose_answers_to: Count of coming answers that are lost after the effect, by
+            the start of their statement.
         refuse_connections: New connections fail.
         cut_off: Names of peers that can't be reached, both ways.
     """
@@ -47,9 +50,21 @@
     lag_ms: int = 0
     slow_ms: int = 0
     drop_answers: int = 0
+    lose_answers_to: dict[str, int] = field(default_factory=dict)
     refuse_connections: bool = False
     cut_off: set[str] = field(default_factory=set)
 
+    def takes_answer(self, sql: str) -> bool:
+        """Tells whether the answer to ``sql`` is to be lost, and counts it."""
+        if sql.startswith("COMMIT") and self.drop_answers:
+            self.drop_answers -= 1
+            return True
+        for start, left in self.lose_answers_to.items():
+            if left and sql.startswith(start):
+                self.lose_answers_to[start] = left - 1
+                return True
+        return False
+
 
 class Instance:
     """A database instance that keeps its log, term and vote over restarts.
@@ -92,6 +107,7 @@
         self._grew = asyncio.Event()
         self._last_contact: float | None = None
         self._caught_up_at: float | None = None
+        self._moved = asyncio.Event()
         self._resumed = asyncio.Event()
         self._resumed.set()
 
@@ -164,6 +180,9 @@
         # A transaction of the old term can't commit; replicated entries must not
         # be applied inside it.
         self.engine.rollback()
+        if self._writer.locked():
+            self._writer.release()
+        self._writer = asyncio.Lock()
 
     def promote(self, term: int, proposer: str) -> None:
         """Becomes primary of a term that was adopted for ``proposer``."""
@@ -189,6 +208,7 @@
         if self.role is Role.REPLICA and self.primary != primary:
             self.primary = primary
             self._last_contact = None
+            self._moved.set()
         self._announce()
 
     def bootstrap(self, primary: str) -> None:
@@ -201,21 +221,43 @@
 
     # Writes
 
-    async def lock_writer(self) -> None:
-        """Waits for the right to write, at most `LOCK_WAIT_S`."""
+    async def begin_write(self) -> int:
+        """Opens the writing transaction, waiting for its turn.
+
+        Returns:
+            The term that it runs in.
+
+        Raises:
+            StatementError: The instance is not the primary, or the wait took longer
+                than `LOCK_WAIT_S`.
+        """
+        self.require_primary()
+        lock = self._writer
         try:
             async with self.timers.timeout(LOCK_WAIT_S):
-                await self._writer.acquire()
+                await lock.acquire()
         except TimeoutError as exc:
             raise StatementError(
                 code=LOCK_WAIT_TIMEOUT,
                 sqlstate="HY000",
                 message="lock wait timeout exceeded",
             ) from exc
-
-    def unlock_writer(self) -> None:
-        """Gives the right to write back."""
-        self._writer.release()
+        if lock is not self._writer:
+            lock.release()
+            raise self._not_primary(None)
+        try:
+            term = self.require_primary()
+        except StatementError:
+            lock.release()
+            raise
+        self.engine.begin()
+        return term
+
+    def abandon(self, term: int) -> None:
+        """Undoes the writing transaction of ``term``, if a later term did not."""
+        if term == self.adopted_term:
+            self.engine.rollback()
+            self._writer.release()
 
     def require_primary(self, term: int | None = None) -> int:
         """Returns the term that this instance is primary of.
@@ -227,18 +269,29 @@
             StatementError: It is not the primary, or no longer in ``term``.
         """
         if self.role is not Role.PRIMARY or term not in (None, self.adopted_term):
-            raise StatementError(
-                code=READ_ONLY,
-                sqlstate="HY000",
-                message=f"{self.name} is not the primary of term {term or 'any'}",
-            )
+            raise self._not_primary(term)
         return self.adopted_term
 
+    def _not_primary(self, term: int | None) -> StatementError:
+        return StatementError(
+            code=READ_ONLY,
+            sqlstate="HY000",
+            message=f"{self.name} is not the primary of term {term or 'any'}",
+        )
+
     def commit(self, statements: tuple[str, ...]) -> LogPosition:
         """Makes the open transaction durable here and visible to readers."""
         self.engine.commit(statements)
+        self._writer.release()
         return self._append(statements)
 
+    def commit_alone(self, sql: str) -> LogPosition:
+        """Commits one statement as a caller of this instance alone would."""
+        self.engine.begin()
+        self.engine.write(sql)
+        self.engine.commit((sql,))
+        return self._append((sql,))
+
     def _append(self, statements: tuple[str, ...]) -> LogPosition:
         entry = LogEntry(self.adopted_term, len(self.log) + 1, statements)
         self.log.append(entry)
@@ -275,11 +328,7 @@
         fenced = self._led_term == term and self.primary == ""
         leads = self.role is Role.PRIMARY and self.adopted_term == term
         if not (leads or fenced):
-            raise StatementError(
-                code=READ_ONLY,
-                sqlstate="HY000",
-                message=f"{self.name} is not the primary of term {term}",
-            )
+            raise self._not_primary(term)
 
     def _contains(self, position: LogPosition) -> bool:
         if position.index == 0:
@@ -297,10 +346,25 @@
             if primary is None or idle:
                 await self.timers.sleep(RECONNECT_S)
                 continue
-            try:
-                await self._follow_stream(primary)
-            except (UpstreamError, TimeoutError):
-                await self.timers.sleep(RECONNECT_S)
+            await self._until_moved(self._follow_stream(primary))
+
+    async def _until_moved(self, work: Coroutine[Any, Any, None]) -> None:
+        # A stream that hangs on a lost primary must not delay the next one.
+        stream = asyncio.ensure_future(work)
+        moved = asyncio.ensure_future(self._moved.wait())
+        try:
+            await asyncio.wait({stream, moved}, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            stream.cancel()
+            moved.cancel()
+        try:
+            await stream
+        except (UpstreamError, TimeoutError):
+            await self.timers.sleep(RECONNECT_S)
+        except asyncio.CancelledError:
+            if not self._moved.is_set():
+                raise
+        self._moved.clear()
 
     async def _follow_stream(self, primary: Address) -> None:
         async with self.timers.timeout(FETCH_TIMEOUT_S):
--- a/src/heatherpier/bench/_memory.py
+++ b/src/heatherpier/bench/_memory.py
@@ -109,8 +109,7 @@
             await asyncio.wait({work, broken}, return_when=asyncio.FIRST_COMPLETED)
             if not work.done():
                 raise ConnectionLostError(f"{self._target.name}: connection reset")
-            if sql.startswith("COMMIT") and self._target.faults.drop_answers:
-                self._target.faults.drop_answers -= 1
+            if self._target.faults.takes_answer(sql):
                 await work
                 self.break_off()
             result = work.result()
--- a/src/heatherpier/groups/_acknowledgement.py
+++ b/src/heatherpier/groups/_acknowledgement.py
@@ -26,38 +26,39 @@
 
     Args:
         position: Position that must be held in its own term.
-        replicas: Count of instances that are asked.
-        needed: Count of them that must hold it.
+        majority: Count of instances that must hold it, with the primary.
         current: Whether the wait is for proof that the instances have not left the
             term. Only answers to later questions count then, and none must hold
             the position.
     """
 
-    def __init__(
-        self, position: LogPosition, *, replicas: int, needed: int, current: bool
-    ) -> None:
+    def __init__(self, position: LogPosition, *, majority: int, current: bool) -> None:
         self.position = position
         self.current = current
         self.fut: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
-        self._needed = needed
-        self._spare = replicas - needed
+        self._majority = majority
+        self._held = 1
+        self._left: set[str] = set()
 
     def settle(self, status: InstanceStatus) -> bool:
         """Takes in an answer and tells whether the instance need not be asked again."""
-        if self.fut.done():
-            return True
-        if status.adopted_term > self.position.term:
-            self._spare -= 1
-            if self._spare < 0:
-                self.fut.set_result(False)
+        if self.fut.done() or status.adopted_term > self.position.term:
             return True
         if not self.current and status.position < self.position:
             return False
-        self._needed -= 1
-        if self._needed <= 0:
+        self._held += 1
+        if self._held >= self._majority:
             self.fut.set_result(True)
         return True
 
+    def note_term(self, name: str, adopted_term: int) -> None:
+        """Takes in that an instance adopted a term."""
+        if self.fut.done() or adopted_term <= self.position.term:
+            return
+        self._left.add(name)
+        if len(self._left) >= self._majority:
+            self.fut.set_result(False)
+
 
 class _Follower:
     """Serves the waits on one replica."""
@@ -138,6 +139,9 @@
     ) -> None:
         self._timers = timers
         self._majority = len(pools) // 2 + 1
+        self._open: set[_MajorityWait] = set()
+        # Highest term that each instance is known to have adopted.
+        self._terms: dict[str, int] = {}
         # A wait on an instance's only connection would block all reads there.
         hold_s = HOLD_S if connections > 1 else 0.0
         self._followers = {
@@ -158,18 +162,18 @@
                 answers to questions asked from now on.
 
         Raises:
-            NotAcknowledgedError: A majority did not hold it in time, or so many
-                instances adopted a higher term that none can.
+            NotAcknowledgedError: A majority did not hold it in time, or a majority
+                has adopted a higher term.
         """
-        followers = [item for name, item in self._followers.items() if name != primary]
-        needed = self._majority - 1
-        if needed == 0:
+        if self._majority == 1:
             return
-        wait = _MajorityWait(
-            position, replicas=len(followers), needed=needed, current=current
-        )
-        for follower in followers:
-            follower.add(wait)
+        wait = _MajorityWait(position, majority=self._majority, current=current)
+        for name, term in self._terms.items():
+            wait.note_term(name, term)
+        for name, follower in self._followers.items():
+            if name != primary:
+                follower.add(wait)
+        self._open.add(wait)
         try:
             async with self._timers.timeout_at(deadline):
                 held = await wait.fut
@@ -177,9 +181,23 @@
             raise NotAcknowledgedError(f"{position} is not on a majority") from exc
         finally:
             wait.fut.cancel()
+            self._open.discard(wait)
         if not held:
             raise NotAcknowledgedError(f"{position}: a majority left the term")
 
+    def note(self, status: InstanceStatus) -> None:
+        """Ends the waits that can't succeed since an instance adopted a term.
+
+        Args:
+            status: What any instance answered, also the primary.
+        """
+        name, term = status.instance, status.adopted_term
+        if term <= self._terms.get(name, 0):
+            return
+        self._terms[name] = term
+        for wait in tuple(self._open):
+            wait.note_term(name, term)
+
     def close(self) -> None:
         """Ends all tasks."""
         for follower in self._followers.values():
--- a/src/heatherpier/groups/_evidence.py
+++ b/src/heatherpier/groups/_evidence.py
@@ -62,17 +62,19 @@
             self._changes.append(now)
         self._led_term = max(self._led_term, term)
 
-    def hold_off_s(self, now: float) -> float:
-        """Returns how long a lost primary must be lost before it is replaced.
+    def earliest(self, lost_at: float, now: float) -> float:
+        """Returns when a lost primary may be replaced, in seconds.
 
         Args:
+            lost_at: Monotonic time in seconds since which it does not answer.
             now: Monotonic time in seconds.
         """
-        if now - self._last_contact() > CONTACT_S:
-            return 0.0
+        silent_at = self._last_contact() + CONTACT_S
+        if now >= silent_at:
+            return max(lost_at, silent_at)
         growing = now - self._grew_at < GROWTH_S
         hold_off_s = BUSY_HOLD_OFF_S if growing else IDLE_HOLD_OFF_S
-        return hold_off_s * self.caution(now)
+        return lost_at + hold_off_s * self.caution(now)
 
     def caution(self, now: float) -> int:
         """Returns the factor on hold-offs that recent changes of primary demand.
--- a/src/heatherpier/groups/_group.py
+++ b/src/heatherpier/groups/_group.py
@@ -23,9 +23,9 @@
 )
 
 # Longest wait for a control statement on a connection of the pool, in seconds.
-POOLED_ANSWER_S = 0.3
+POOLED_ANSWER_S = 0.25
 # Longest wait for the same statement on a new connection, in seconds.
-NEW_ANSWER_S = 0.4
+NEW_ANSWER_S = 0.35
 
 T = TypeVar("T")
 
@@ -78,6 +78,7 @@
         if known is not None and known.adopted_term > status.adopted_term:
             return
         self.statuses[status.instance] = status
+        self._acknowledger.note(status)
         self._changed.set()
         self._changed = asyncio.Event()
 
@@ -254,9 +255,9 @@
             deadline: Monotonic time in seconds.
 
         Raises:
-            NotAcknowledgedError: A majority did not hold it in time, or so many
-                instances adopted a higher term that none can. Whether the next
-                primary holds it is then open.
+            NotAcknowledgedError: A majority did not hold it in time, or a majority
+                has adopted a higher term. Whether the next primary holds it is
+                then open.
         """
         known = self._acknowledged
         # A higher term proves nothing of a lower one's last entries.
--- a/src/heatherpier/groups/_watcher.py
+++ b/src/heatherpier/groups/_watcher.py
@@ -139,37 +139,36 @@
         self._condition = condition
 
     def _is_due(self) -> bool:
-        hold_off_s = self._hold_off_s()
-        if hold_off_s is None:
-            return False
         now = self._timers.now()
+        earliest = self._earliest(now)
+        if earliest is None:
+            return False
         start = max(
-            self._since + hold_off_s,
-            self._evidence.term_seen_at + PROPOSAL_GRACE_S,
-            self._not_before,
+            earliest, self._evidence.term_seen_at + PROPOSAL_GRACE_S, self._not_before
         )
         turn_s = self._rank() * RANK_STEP_S + self._rng.random() * JITTER_S
         return now >= start + turn_s
 
-    def _hold_off_s(self) -> float | None:
-        now = self._timers.now()
+    def _earliest(self, now: float) -> float | None:
         match self._condition:
             case PrimaryWorks():
                 return None
             case PrimaryLost(expected=expected):
                 known = not expected or expected in self._group.statuses
-                if not (known or expected in self._down):
-                    return None
+                confirmed = known or expected in self._down
                 enough = self._answering(()) >= self._group.spec.majority
-                return self._evidence.hold_off_s(now) if enough else None
+                if not (confirmed and enough):
+                    return None
+                return self._evidence.earliest(self._since, now)
             case PrimaryIsolated(primary=primary):
-                enough = self._answering((primary,)) >= self._group.spec.majority
-                caution = self._evidence.caution(now)
-                return ISOLATED_HOLD_OFF_S * caution if enough else None
+                if self._answering((primary,)) < self._group.spec.majority:
+                    return None
+                hold_off_s = ISOLATED_HOLD_OFF_S * self._evidence.caution(now)
+                return self._since + hold_off_s
             case TermUnfinished():
-                return PROPOSAL_GRACE_S
+                return self._since + PROPOSAL_GRACE_S
             case PrimaryLeaving():
-                return LEAVING_HOLD_OFF_S
+                return self._since + LEAVING_HOLD_OFF_S
 
     def _answering(self, avoid: tuple[str, ...]) -> int:
         return len(self._group.statuses.keys() - set(avoid))
