--- a/src/heatherpier/bench/__init__.py
+++ b/src/heatherpier/bench/__init__.py
@@ -2,6 +2,14 @@
 
 from heatherpier.bench._cluster import MemoryGroup, start_memory_group
 from heatherpier.bench._commands import run_bench
+from heatherpier.bench._directory import MemoryDirectory
+from heatherpier.bench._failover import (
+    FailoverCluster,
+    Loss,
+    LossResult,
+    measure_loss,
+    start_failover_cluster,
+)
 from heatherpier.bench._instance import Instance, InstanceFaults
 from heatherpier.bench._instance_server import run_instance, serve_instance
 from heatherpier.bench._memory import MemoryNetwork
@@ -11,17 +19,23 @@
 from heatherpier.bench._processes import free_ports
 
 __all__ = [
+    "FailoverCluster",
     "Instance",
     "InstanceFaults",
+    "Loss",
+    "LossResult",
+    "MemoryDirectory",
     "MemoryFleet",
     "MemoryGroup",
     "MemoryNetwork",
     "MemoryPlatform",
     "free_ports",
     "run_bench",
+    "measure_loss",
     "run_instance",
     "run_platform",
     "serve_instance",
     "serve_platform",
+    "start_failover_cluster",
     "start_memory_group",
 ]
--- a/src/heatherpier/bench/_dialog.py
+++ b/src/heatherpier/bench/_dialog.py
@@ -53,6 +53,13 @@
             StatementError: It was refused and had no effect.
         """
         await self._instance.until_resumed()
+        try:
+            return await self._run(sql)
+        finally:
+            # A paused process sends no answer either.
+            await self._instance.until_resumed()
+
+    async def _run(self, sql: str) -> Result:
         if self._instance.faults.slow_ms:
             await self._instance.timers.sleep(self._instance.faults.slow_ms / 1000)
         word = sql.split(None, 1)[0].upper().rstrip(";") if sql.strip() else ""
@@ -77,15 +84,14 @@
         if self._term is None:
             # A statement that waits for a lock holds no slot, or the waiting
             # ones would keep the lock's holder from its next statement.
-            await self._open_write()
+            self._term = await self._instance.begin_write()
         async with self._instance.slots:
             return self._write(sql)
 
     def rollback(self) -> None:
         """Undoes the open transaction, if any."""
         if self._term is not None:
-            self._instance.engine.rollback()
-            self._instance.unlock_writer()
+            self._instance.abandon(self._term)
         self._forget()
 
     def _forget(self) -> None:
@@ -112,16 +118,6 @@
             self._commit()
         return result
 
-    async def _open_write(self) -> None:
-        self._instance.require_primary()
-        await self._instance.lock_writer()
-        try:
-            self._term = self._instance.require_primary()
-        except StatementError:
-            self._instance.unlock_writer()
-            raise
-        self._instance.engine.begin()
-
     def _commit(self) -> Result:
         if self._term is None:
             self._forget()
@@ -132,7 +128,6 @@
             self.rollback()
             raise
         self._last_commit = self._instance.commit(tuple(self._statements))
-        self._instance.unlock_writer()
         self._forget()
         return Result()
 
--- a/src/heatherpier/groups/_evidence.py
+++ b/src/heatherpier/groups/_evidence.py
@@ -25,6 +25,10 @@
 
     Args:
         group: The group as this proxy knows it.
+
+    Attributes:
+        term_seen_at: Monotonic time in seconds at which the highest term was seen.
+        led_at: The same for the highest term that has a primary.
     """
 
     def __init__(self, group: Group) -> None:
@@ -35,6 +39,7 @@
         self._led_term = 0
         self._changes: deque[float] = deque(maxlen=MOST_DOUBLINGS)
         self.term_seen_at = -RECENT_S
+        self.led_at = -RECENT_S
 
     def observe(self, now: float) -> None:
         """Takes in the group's present statuses.
@@ -58,21 +63,26 @@
             term = self._group.primary().adopted_term
         except NoPrimaryError:
             return
-        if term > self._led_term > 0:
+        if term <= self._led_term:
+            return
+        if self._led_term > 0:
             self._changes.append(now)
-        self._led_term = max(self._led_term, term)
+        self._led_term = term
+        self.led_at = now
 
-    def hold_off_s(self, now: float) -> float:
-        """Returns how long a lost primary must be lost before it is replaced.
+    def earliest(self, lost_at: float, now: float) -> float:
+        """Returns when a lost primary may be replaced, in seconds.
 
         Args:
+            lost_at: Monotonic time in seconds since which it does not answer.
             now: Monotonic time in seconds.
         """
-        if now - self._last_contact() > CONTACT_S:
-            return 0.0
+        silent_at = self._last_contact() + CONTACT_S
+        if now >= silent_at:
+            return max(lost_at, silent_at)
         growing = now - self._grew_at < GROWTH_S
         hold_off_s = BUSY_HOLD_OFF_S if growing else IDLE_HOLD_OFF_S
-        return hold_off_s * self.caution(now)
+        return lost_at + hold_off_s * self.caution(now)
 
     def caution(self, now: float) -> int:
         """Returns the factor on hold-offs that recent changes of primary demand.
--- a/src/heatherpier/reads/tests/test_promises.py
+++ b/src/heatherpier/reads/tests/test_promises.py
@@ -141,9 +141,7 @@
     for replica in replicas:
         field.memory.network.cut(primary.name, replica.name)
         field.memory.network.cut("proxy-1", replica.name)
-    primary.engine.begin()
-    primary.engine.write(WRITE)
-    primary.commit((WRITE,))
+    primary.commit_alone(WRITE)
     switch_off(off, monkeypatch)
     rows = await read_or_refusal(desk)
     assert (rows != SEEN) is (off is None)
@@ -161,9 +159,7 @@
     second.faults.replication_stopped = third.faults.replication_stopped = True
     await field.timers.sleep(1)
     before = second.position
-    first.engine.begin()
-    first.engine.write(WRITE)
-    first.commit((WRITE,))
+    first.commit_alone(WRITE)
     network.crash(first.name)
     await field.change_primary(2, voters=[1, 2])
     network.crash(third.name)
