Serve transactions on one upstream connection each

Cause: transactions were refused.

Ruled out: a statement of a lost transaction that runs outside it, so the loss is kept until the caller ends the transaction; reads of a transaction on a replica; the second run of a transaction by the proxy, which can't know what the caller decided from its reads, so a lost COMMIT is refused before it is called not run.

Change: Begin, Commit, Rollback and savepoints are classified by their whole form (COMMIT AND CHAIN and ROLLBACK TO were taken for plain ones, SET autocommit swallowed further variables); the record of a transaction is inserted before COMMIT; implicit commits follow MySQL.

Without records or without refusals a not run becomes untrue, and the check finds it.

--- a/src/heatherpier/_session.py
+++ b/src/heatherpier/_session.py
@@ -9,6 +9,7 @@
     Ignored,
     Read,
     Rollback,
+    Savepoint,
     SelectToken,
     SetAutocommit,
     SetHint,
@@ -72,8 +73,17 @@
         self._defaults = SessionHints(deadline_ms=deadline_ms, max_age_ms=max_age_ms)
         self._hints = SessionHints()
         self._floors = SessionFloors()
-        self.in_transaction = False
-        self.autocommit = True
+        self._transactions = writer.open_caller(on_commit=self._take)
+
+    @property
+    def in_transaction(self) -> bool:
+        """Whether a transaction is open."""
+        return self._transactions.in_transaction
+
+    @property
+    def autocommit(self) -> bool:
+        """Whether a statement outside a transaction commits by itself."""
+        return self._transactions.autocommit
 
     async def execute(
         self, sql: str, *, database: str | None, hints: Mapping[str, str]
@@ -98,7 +108,7 @@
             case SetHint(name=name, value=value):
                 self._set_hint(name, value)
                 return Result()
-            case SetAutocommit() | Ignored():
+            case Ignored():
                 return Result()
             case Unsupported(reason=reason):
                 raise RefusedError(reason)
@@ -107,19 +117,52 @@
                 return self._token_result()
         hints = self._take_hints(given)
         match statement:
-            case Begin() | Commit() | Rollback():
-                raise RefusedError("transactions are not served yet")
+            case Begin() | Commit() | Rollback() | SetAutocommit():
+                await self._control(sql, statement, database=database, hints=hints)
+                return Result()
+            case Savepoint():
+                req = self._transaction_request(sql, self._group(database), hints)
+                return (await self._transactions.mark(req)).result
+            case Read() | Write() if self._transactions.takes_statements:
+                group = self._group(database)
+                req = self._transaction_request(sql, group, hints)
+                changes = isinstance(statement, Write)
+                answer = await self._transactions.execute(group, req, changes=changes)
+                return self._take(answer, group)
             case Read():
                 group = self._group(database)
                 req = self._read_request(sql, group, hints)
                 return self._take(await self._reader.execute(group, req), group)
             case Write():
                 group = self._group(database)
-                req = self._request(sql, group, hints)
+                req = self._request(sql, group.spec.name, hints)
                 return self._take(await self._writer.execute(group, req), group)
 
+    async def _control(
+        self,
+        sql: str,
+        statement: Begin | Commit | Rollback | SetAutocommit,
+        *,
+        database: str | None,
+        hints: SessionHints,
+    ) -> None:
+        """Opens or ends a transaction."""
+        match statement:
+            case Begin(read_only=read_only):
+                group = self._group(database)
+                req = self._transaction_request(sql, group, hints)
+                await self._transactions.begin(group, req, read_only=read_only)
+            case Commit():
+                await self._transactions.commit(self._request(sql, "", hints))
+            case Rollback():
+                await self._transactions.rollback()
+            case SetAutocommit(on=on):
+                req = self._request(sql, "", hints)
+                await self._transactions.set_autocommit(on, req)
+
     async def close(self) -> None:
-        """Ends the session."""
+        """Ends the session; an open transaction is rolled back."""
+        await self._transactions.rollback()
 
     def _group(self, database: str | None) -> Group:
         group = self._groups.get(database or "")
@@ -138,7 +181,8 @@
     def _take_hints(self, given: SessionHints) -> SessionHints:
         """Returns the hints of one statement and uses the connection's key up."""
         hints = self._enter(given)
-        self._hints = self._hints.with_value("key", "NULL")
+        used_up = self._hints.with_value("key", "NULL")
+        self._hints = used_up.with_value("key_made_ms", "NULL")
         return hints
 
     def _enter(self, given: SessionHints) -> SessionHints:
@@ -148,13 +192,14 @@
 
     # Requests
 
-    def _request(self, sql: str, group: Group, hints: SessionHints) -> Request:
+    def _request(self, sql: str, group: str, hints: SessionHints) -> Request:
         assert hints.deadline_ms is not None
         return Request(
             sql=sql,
-            group=group.spec.name,
+            group=group,
             deadline=self._timers.now() + hints.deadline_ms / MS_PER_S,
             key=hints.key,
+            key_made_ms=hints.key_made_ms,
             repeatable=bool(hints.repeatable),
             priority=Priority.WRITE if hints.priority is None else hints.priority,
             trace=hints.trace or "",
@@ -168,12 +213,18 @@
         # A read never takes the place of a write.
         priority = max(hints.priority or usual, Priority.SESSION_READ)
         return replace(
-            self._request(sql, group, hints),
+            self._request(sql, group.spec.name, hints),
             floor=self._floors.floor(group.spec.name),
             max_age_ms=hints.max_age_ms,
             priority=priority,
         )
 
+    def _transaction_request(
+        self, sql: str, group: Group, hints: SessionHints
+    ) -> Request:
+        req = self._request(sql, group.spec.name, hints)
+        return replace(req, floor=self._floors.floor(req.group))
+
     # Token
 
     def _take(self, answer: Answer, group: Group) -> Result:
--- a/src/heatherpier/bench/_dialog.py
+++ b/src/heatherpier/bench/_dialog.py
@@ -7,6 +7,7 @@
 from heatherpier.upstreams import Column, Result, StatementError
 
 CALL = re.compile(r"CALL\s+group_(\w+)\s*\((.*)\)\s*;?$", re.IGNORECASE | re.DOTALL)
+ROLLBACK_TO = re.compile(r"ROLLBACK\s+(WORK\s+)?TO\s", re.IGNORECASE)
 READ_WORDS = frozenset({"SELECT", "WITH", "SHOW", "EXPLAIN", "VALUES"})
 UNKNOWN_PROCEDURE = 1305
 VAR_STRING = 253
@@ -32,6 +33,7 @@
         self._instance = instance
         self._term: int | None = None
         self._statements: list[str] = []
+        self._marks: dict[str, int] = {}
         self._explicit = False
         self._autocommit = True
         self._last_commit = LogPosition(0, 0)
@@ -64,6 +66,10 @@
                 return Result()
             case "COMMIT":
                 return self._commit()
+            case "SAVEPOINT" | "RELEASE":
+                return await self._savepoint(sql)
+            case "ROLLBACK" if ROLLBACK_TO.match(sql):
+                return await self._savepoint(sql)
             case "ROLLBACK":
                 self.rollback()
                 return Result()
@@ -81,6 +87,17 @@
         async with self._instance.slots:
             return self._write(sql)
 
+    async def _savepoint(self, sql: str) -> Result:
+        if self._term is None:
+            await self._open_write()
+        result = self._instance.engine.write(sql)
+        word, name = sql.split()[0].upper(), sql.rstrip("; ").split()[-1]
+        if word == "SAVEPOINT":
+            self._marks[name] = len(self._statements)
+        if word == "ROLLBACK":
+            del self._statements[self._marks[name] :]
+        return result
+
     def rollback(self) -> None:
         """Undoes the open transaction, if any."""
         if self._term is not None:
--- a/src/heatherpier/callers/__init__.py
+++ b/src/heatherpier/callers/__init__.py
@@ -7,11 +7,8 @@
 from heatherpier.callers._packets import PacketAdapter
 from heatherpier.callers._session import CallerSession
 from heatherpier.callers._statements import (
-    Begin,
-    Commit,
     Ignored,
     Read,
-    Rollback,
     SelectToken,
     SetAutocommit,
     SetHint,
@@ -20,6 +17,7 @@
     Write,
     classify,
 )
+from heatherpier.callers._transactions import Begin, Commit, Rollback, Savepoint
 
 __all__ = [
     "Begin",
@@ -32,6 +30,7 @@
     "PacketAdapter",
     "Read",
     "Rollback",
+    "Savepoint",
     "SelectToken",
     "SetAutocommit",
     "SetHint",
--- a/src/heatherpier/callers/_session.py
+++ b/src/heatherpier/callers/_session.py
@@ -16,8 +16,13 @@
 class CallerSession(Protocol):
     """What one caller's connection needs from the proxy."""
 
-    in_transaction: bool
-    autocommit: bool
+    @property
+    def in_transaction(self) -> bool:
+        """Whether a transaction is open."""
+
+    @property
+    def autocommit(self) -> bool:
+        """Whether a statement outside a transaction commits by itself."""
 
     async def execute(
         self, sql: str, *, database: str | None, hints: Mapping[str, str]
--- a/src/heatherpier/callers/_statements.py
+++ b/src/heatherpier/callers/_statements.py
@@ -7,11 +7,23 @@
 import sqlglot
 from sqlglot import expressions as exp
 
+from heatherpier.callers._transactions import (
+    Begin,
+    Commit,
+    Rollback,
+    Savepoint,
+    UnknownForm,
+    classify_transaction,
+)
+
 HINT = re.compile(r"SET\s+@heatherpier_(\w+)\s*:?=\s*(.+?)\s*;?\s*$", re.I | re.S)
 TOKEN = re.compile(r"SELECT\s+@heatherpier_token\s*;?\s*$", re.I)
 AUTOCOMMIT = re.compile(
-    r"SET\s+(?:SESSION\s+|@@(?:session\.)?)?autocommit\s*=\s*(\w+)", re.I
+    r"SET\s+(?:SESSION\s+|@@(?:session\.)?)?autocommit\s*=\s*"
+    r"(?:(1|ON|TRUE)|0|OFF|FALSE)\s*;?\s*$",
+    re.I,
 )
+COMMENTS = re.compile(r"(?:\s+|/\*(?!!).*?\*/|(?:--\s|#)[^\n]*\n)+", re.S)
 LITERAL = re.compile(r"'(?:[^'\\]|\\.|'')*'|\"(?:[^\"\\]|\\.|\"\")*\"|\b\d+\b")
 HARMLESS_SET = re.compile(r"SET\s+(NAMES|CHARACTER\s+SET)\b", re.I)
 SHAPES_CACHED = 4096
@@ -27,21 +39,6 @@
     """Any statement that is not surely a plain read."""
 
 
-@dataclass(frozen=True, slots=True)
-class Begin:
-    """Opens a transaction."""
-
-
-@dataclass(frozen=True, slots=True)
-class Commit:
-    """Ends a transaction and keeps its writes."""
-
-
-@dataclass(frozen=True, slots=True)
-class Rollback:
-    """Ends a transaction and drops its writes."""
-
-
 @dataclass(frozen=True, slots=True)
 class SetAutocommit:
     """Turns autocommit on or off for the caller's connection."""
@@ -80,6 +77,7 @@
     | Begin
     | Commit
     | Rollback
+    | Savepoint
     | SetAutocommit
     | SetHint
     | SelectToken
@@ -91,14 +89,21 @@
 def classify(sql: str) -> Statement:
     """Returns how ``sql`` must be served."""
     text = sql.strip()
+    if comments := COMMENTS.match(text):
+        text = text[comments.end() :]
     if TOKEN.match(text):
         return SelectToken()
     if found := HINT.match(text):
         return SetHint(found[1].lower(), found[2].strip("'\""))
     if found := AUTOCOMMIT.match(text):
-        return SetAutocommit(found[1].upper() in ("1", "ON", "TRUE"))
+        return SetAutocommit(found[1] is not None)
     if HARMLESS_SET.match(text):
         return Ignored()
+    transaction = classify_transaction(text)
+    if isinstance(transaction, UnknownForm):
+        return Unsupported(f"{text[:60]!r} is not a form that the proxy serves")
+    if transaction is not None:
+        return transaction
     return _classify_shape(LITERAL.sub("0", text))
 
 
@@ -115,12 +120,8 @@
 
 def _classify_expression(tree: exp.Expression) -> Statement:
     match tree:
-        case exp.Transaction():
-            return Begin()
-        case exp.Commit():
-            return Commit()
-        case exp.Rollback():
-            return Rollback()
+        case exp.Transaction() | exp.Commit() | exp.Rollback():
+            return Unsupported("a transaction statement of a form not served")
         case exp.Set():
             return Unsupported("SET of a session variable would not follow the caller")
         case exp.Select() | exp.Union() if _is_plain(tree):
--- a/src/heatherpier/sessions/_hints.py
+++ b/src/heatherpier/sessions/_hints.py
@@ -14,6 +14,7 @@
 MAX_NAME_CHARS = 128
 MAX_AGE_LIMIT_MS = 86_400_000
 DEADLINE_LIMIT_MS = 600_000
+WALL_TIME_LIMIT_MS = 9_999_999_999_999
 FLAGS = {"1": True, "true": True, "on": True, "0": False, "false": False, "off": False}
 SHOWN_CHARS = 40
 # Drivers add these attributes by themselves when the application is traced.
@@ -29,6 +30,7 @@
         token: Session token, as text.
         session: Name of the session.
         key: Idempotency key of one statement.
+        key_made_ms: Wall time in milliseconds at which the caller made the key.
         repeatable: Whether the statement may run more than once.
         max_age_ms: Largest age of a read in milliseconds.
         deadline_ms: Time in milliseconds that the statement may take.
@@ -39,6 +41,7 @@
     token: str | None = None
     session: str | None = None
     key: str | None = None
+    key_made_ms: int | None = None
     repeatable: bool | None = None
     max_age_ms: int | None = None
     deadline_ms: int | None = None
@@ -123,6 +126,8 @@
             return _flag(name, text)
         case "max_age_ms":
             return _number(name, text, 0, MAX_AGE_LIMIT_MS)
+        case "key_made_ms":
+            return _number(name, text, 0, WALL_TIME_LIMIT_MS)
         case "deadline_ms":
             return _number(name, text, 1, DEADLINE_LIMIT_MS)
         case "priority":
--- a/src/heatherpier/writes/_attempt.py
+++ b/src/heatherpier/writes/_attempt.py
@@ -1,6 +1,6 @@
 """One attempt of a write, in one database transaction with its record."""
 
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from enum import IntEnum
 
 from heatherpier.groups import GroupError, LogPosition, fetch_last_commit
@@ -19,7 +19,6 @@
     RecordExistsError,
 )
 from heatherpier.writes._records import (
-    RecordState,
     RequestRecord,
     insert_record,
     keep_refusals,
@@ -135,8 +134,3 @@
     except (UpstreamError, GroupError) as exc:
         raise CommitUnknownError(f"COMMIT: {exc}") from exc
     return Committed(result=result, position=position)
-
-
-def refusal_of(record: RequestRecord) -> RequestRecord:
-    """Returns the record that refuses an attempt."""
-    return replace(record, state=RecordState.REFUSED)
--- /dev/null
+++ b/src/heatherpier/writes/_begin.py
@@ -0,0 +1,92 @@
+"""Opens transactions on the primary."""
+
+from contextlib import AsyncExitStack
+from random import Random
+
+from heatherpier.groups import Group, GroupError, InstanceStatus, wait_for_position
+from heatherpier.requests import NotRunError, Request
+from heatherpier.timers import Timers
+from heatherpier.upstreams import (
+    ConnectError,
+    PoolBusyError,
+    PooledConnection,
+    UpstreamError,
+)
+from heatherpier.writes._attempt import begin
+from heatherpier.writes._errors import AttemptLostError
+from heatherpier.writes._primary import RETRY_AFTER_MS, find_primary
+from heatherpier.writes._retry import Backoff
+from heatherpier.writes._transaction import Transaction
+
+IDLE_LIMIT_S = 30.0
+# Longest wait for the primary to hold the session's floor, in seconds.
+FLOOR_WAIT_S = 0.5
+
+
+class TransactionOpener:
+    """Opens transactions.
+
+    Args:
+        timers: Timer service.
+        rng: Random source for retry delays.
+        idle_limit_s: Longest time in seconds between two statements.
+    """
+
+    def __init__(
+        self, *, timers: Timers, rng: Random, idle_limit_s: float = IDLE_LIMIT_S
+    ) -> None:
+        self._timers = timers
+        self._rng = rng
+        self._idle_limit_s = idle_limit_s
+
+    async def open(self, group: Group, req: Request, *, read_only: bool) -> Transaction:
+        """Opens a transaction; nothing has run where this fails.
+
+        Raises:
+            ReadOnlyError: The group has no primary.
+            NotRunError: None could be opened by the deadline.
+        """
+        backoff = Backoff(self._rng)
+        while True:
+            primary = await find_primary(
+                group, timers=self._timers, deadline=req.deadline
+            )
+            try:
+                return await self._open(group, req, primary, read_only=read_only)
+            except (UpstreamError, GroupError, AttemptLostError) as exc:
+                self._report(group, primary.instance, exc)
+                delay_s = backoff.next_s()
+                if self._timers.now() + delay_s >= req.deadline:
+                    raise NotRunError(str(exc), retry_after_ms=RETRY_AFTER_MS) from exc
+            await self._timers.sleep(delay_s)
+
+    def _report(self, group: Group, name: str, exc: Exception) -> None:
+        if isinstance(exc, ConnectError) and not isinstance(exc, PoolBusyError):
+            group.report_failure(name)
+        else:
+            group.suspect(name)
+
+    async def _open(
+        self, group: Group, req: Request, primary: InstanceStatus, *, read_only: bool
+    ) -> Transaction:
+        left = req.deadline - self._timers.now()
+        async with AsyncExitStack() as stack:
+            pool = group.pools[primary.instance]
+            conn = await stack.enter_async_context(pool.borrow(timeout_s=left))
+            await self._require_floor(conn, req)
+            sql = "START TRANSACTION READ ONLY" if read_only else "BEGIN"
+            await begin(conn, sql=sql)
+            return Transaction(
+                group,
+                conn,
+                stack.pop_all(),
+                timers=self._timers,
+                idle_limit_s=self._idle_limit_s,
+            )
+
+    async def _require_floor(self, conn: PooledConnection, req: Request) -> None:
+        if req.floor is None:
+            return
+        status = await wait_for_position(conn, req.floor, timeout_s=FLOOR_WAIT_S)
+        if not status.leads() or status.position < req.floor:
+            raise AttemptLostError(f"{conn.name} does not lead with {req.floor}")
--- a/src/heatherpier/writes/_keys.py
+++ b/src/heatherpier/writes/_keys.py
@@ -1,7 +1,6 @@
 """Idempotency keys: their form, their age and those that the proxy makes."""
 
 import re
-from dataclasses import dataclass
 from random import Random
 
 from heatherpier.requests import RefusedError, Request
@@ -17,19 +16,6 @@
 CLOCK_SKEW_MS = MS_PER_HOUR
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class RequestKey:
-    """The idempotency key of one write.
-
-    Attributes:
-        text: The key.
-        from_caller: Whether the caller gave it, so that earlier tries may exist.
-    """
-
-    text: str
-    from_caller: bool
-
-
 class KeyMaker:
     """Makes keys and checks those of callers.
 
@@ -53,21 +39,21 @@
         self._timers = timers
         self._retention_ms = retention_ms
 
-    def key_of(self, req: Request) -> RequestKey:
+    def key_of(self, req: Request) -> str:
         """Returns the key of a request, made here if the caller gave none.
 
         Raises:
             RefusedError: The caller's key has a wrong form or is too old.
         """
         if req.key is None:
-            return RequestKey(text=self._make(), from_caller=False)
+            return self._make()
         if not KEY_FORM.fullmatch(req.key):
             raise RefusedError(
                 f"key {req.key[:140]!r} must be 1 to 128 characters of "
                 "letters, digits and . _ : / = + @ -"
             )
         self._check_age(req.key, made_ms=req.key_made_ms)
-        return RequestKey(text=req.key, from_caller=True)
+        return req.key
 
     def _make(self) -> str:
         bits = self._rng.getrandbits(RANDOM_BITS)
--- a/src/heatherpier/writes/_kinds.py
+++ b/src/heatherpier/writes/_kinds.py
@@ -10,7 +10,6 @@
 STANDALONE_WORDS = frozenset(
     {"CREATE", "ALTER", "DROP", "TRUNCATE", "RENAME", "ANALYZE", "OPTIMIZE"}
 )
-SAVEPOINT_WORDS = frozenset({"SAVEPOINT", "RELEASE", "ROLLBACK"})
 SHAPES_CACHED = 4096
 
 # Words in literals and comments must not be matched.
@@ -39,11 +38,6 @@
     """Commits by itself, as DDL does, so that no record can be kept with it."""
 
 
-@dataclass(frozen=True, slots=True)
-class Savepoint:
-    """Sets, drops or returns to a savepoint of the open transaction."""
-
-
 @dataclass(frozen=True, slots=True)
 class Uncarried:
     """Would leave state on an upstream connection, or can't be classified.
@@ -55,7 +49,7 @@
     reason: str
 
 
-Kind = Transactional | Standalone | Savepoint | Uncarried
+Kind = Transactional | Standalone | Uncarried
 
 
 @functools.lru_cache(maxsize=SHAPES_CACHED)
@@ -87,6 +81,4 @@
         return Transactional()
     if word in STANDALONE_WORDS:
         return Standalone()
-    if word in SAVEPOINT_WORDS:
-        return Savepoint()
     return Uncarried(f"{word or 'an empty statement'} is not carried by the proxy")
--- a/src/heatherpier/writes/_records.py
+++ b/src/heatherpier/writes/_records.py
@@ -2,7 +2,7 @@
 
 import hashlib
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 
 from heatherpier.groups import UnexpectedAnswerError
@@ -54,6 +54,18 @@
     affected_rows: int = 0
     insert_id: int = 0
 
+    def numbered(self, attempt: int) -> "RequestRecord":
+        """Returns the record of another attempt."""
+        return replace(self, attempt=attempt)
+
+    def with_fingerprint(self, fingerprint: str) -> "RequestRecord":
+        """Returns the record with the hash of its statements."""
+        return replace(self, fingerprint=fingerprint)
+
+    def refusal(self) -> "RequestRecord":
+        """Returns the record that refuses the attempt."""
+        return replace(self, state=RecordState.REFUSED)
+
     def result(self) -> Result:
         """Returns the outcome as the statement answered it."""
         return Result(affected_rows=self.affected_rows, last_insert_id=self.insert_id)
--- a/src/heatherpier/writes/_resolver.py
+++ b/src/heatherpier/writes/_resolver.py
@@ -22,7 +22,7 @@
     StatementError,
     UpstreamError,
 )
-from heatherpier.writes._attempt import CONTROL_TIMEOUT_S, ServerError, refusal_of
+from heatherpier.writes._attempt import CONTROL_TIMEOUT_S, ServerError
 from heatherpier.writes._errors import AttemptLostError, UnresolvedError
 from heatherpier.writes._primary import find_primary
 from heatherpier.writes._records import (
@@ -172,7 +172,7 @@
         record, status = finding.record, finding.status
         if record is None:
             return Free(attempt=1)
-        if record.fingerprint != work.fingerprint:
+        if work.fingerprint not in ("", record.fingerprint):
             raise RefusedError(f"key {work.key!r} was used for another statement")
         if record.state is RecordState.REFUSED:
             return Free(attempt=record.attempt + 1)
@@ -207,7 +207,7 @@
         try:
             await insert_record(
                 conn,
-                refusal_of(work),
+                work.refusal(),
                 created_ms=self._timers.wall_ms(),
                 timeout_s=deadline - self._timers.now(),
             )
--- a/src/heatherpier/writes/tests/conftest.py
+++ b/src/heatherpier/writes/tests/conftest.py
@@ -108,10 +108,43 @@
         spring = spring_of(fault, self.bench)
         self.traps.append(Trap(prefix, after, spring))
 
-    async def write(self, sql, *, budget_s=4.0, **fields):
+    def caller(self):
+        """Returns a caller without an open transaction."""
+        return Caller(self)
+
+    def request(self, sql, *, budget_s=4.0, **fields):
         deadline = self.bench.timers.now() + budget_s
-        req = Request(sql=sql, group=GROUP, deadline=deadline, **fields)
-        return await self.writer.execute(self.group, req)
+        return Request(sql=sql, group=GROUP, deadline=deadline, **fields)
+
+    async def write(self, sql, **fields):
+        return await self.writer.execute(self.group, self.request(sql, **fields))
+
+
+class Caller:
+    """One caller of a proxy; keeps the answers of its commits."""
+
+    def __init__(self, proxy):
+        self.proxy = proxy
+        self.commits = []
+        self.transactions = proxy.writer.open_caller(
+            on_commit=lambda answer, group: self.commits.append(answer)
+        )
+
+    async def begin(self, *, read_only=False, **fields):
+        req = self.proxy.request("BEGIN", **fields)
+        await self.transactions.begin(self.proxy.group, req, read_only=read_only)
+
+    async def run(self, sql, **fields):
+        changes = not sql.startswith("SELECT")
+        req = self.proxy.request(sql, **fields)
+        answer = await self.transactions.execute(self.proxy.group, req, changes=changes)
+        return answer.result
+
+    async def commit(self, **fields):
+        await self.transactions.commit(self.proxy.request("COMMIT", **fields))
+
+    async def mark(self, sql):
+        await self.transactions.mark(self.proxy.request(sql))
 
 
 @pytest.fixture
--- a/src/heatherpier/writes/tests/test_faults.py
+++ b/src/heatherpier/writes/tests/test_faults.py
@@ -15,7 +15,7 @@
     OutcomeUnknownError,
     ReadOnlyError,
 )
-from heatherpier.writes import _resolver, _writer
+from heatherpier.writes import _resolver, _single
 from heatherpier.writes.tests import traps
 
 CALL = "INSERT INTO calls VALUES ('linh')"
@@ -147,8 +147,8 @@
     async def nothing(*args, **kwargs):
         return None
 
-    monkeypatch.setattr(_writer, "claim_attempt", nothing)
-    monkeypatch.setattr(_writer, "update_outcome", nothing)
+    monkeypatch.setattr(_single, "claim_attempt", nothing)
+    monkeypatch.setattr(_single, "update_outcome", nothing)
 
 
 def without_refusals(monkeypatch):
@@ -186,11 +186,11 @@
 
 
 async def test_refused_attempt_is_followed_by_the_next_one(bench, proxy, timers):
-    record = _writer.RequestRecord(
+    record = _single.RequestRecord(
         key="call-1",
         attempt=1,
-        fingerprint=_writer.fingerprint_of("assist-core-1", [CALL]),
-        state=_writer.RecordState.RUN,
+        fingerprint=_single.fingerprint_of("assist-core-1", [CALL]),
+        state=_single.RecordState.RUN,
     )
     resolver = _resolver.Resolver(timers=timers, rng=proxy.rng)
     refused = await resolver.refuse(proxy.group, record, deadline=timers.now() + 2)
--- /dev/null
+++ b/src/heatherpier/writes/tests/test_session.py
@@ -0,0 +1,109 @@
+"""Transactions as a caller's session serves them."""
+
+import pytest
+
+from heatherpier._session import Session
+from heatherpier.reads import Reader
+from heatherpier.requests import NotRunError, RefusedError
+from heatherpier.sessions import TokenSigner
+from heatherpier.writes.tests import traps
+
+DATABASE = "assist_core_1"
+CALL = "INSERT INTO calls VALUES ('linh')"
+
+
+@pytest.fixture
+def signer():
+    """Returns a signer of tokens."""
+    return TokenSigner(deployment="test", keys=(b"0" * 32,))
+
+
+@pytest.fixture
+def run(proxy, signer, timers):
+    """Returns a function that runs a statement of one caller."""
+    session = Session(
+        groups={DATABASE: proxy.group},
+        reader=Reader(timers=timers, data_centre="south-a"),
+        writer=proxy.writer,
+        signer=signer,
+        timers=timers,
+        deadline_ms=4000,
+    )
+
+    async def run(sql):
+        return await session.execute(sql, database=DATABASE, hints={})
+
+    run.session = session
+    return run
+
+
+def flags(run):
+    return run.session.in_transaction, run.session.autocommit
+
+
+@pytest.mark.parametrize(
+    ("statements", "expected"),
+    [
+        ((), (False, True)),
+        (("BEGIN",), (True, True)),
+        (("START TRANSACTION READ ONLY",), (True, True)),
+        (("/* begin */ BEGIN WORK;",), (True, True)),
+        (("BEGIN", CALL, "COMMIT"), (False, True)),
+        (("BEGIN", CALL, "ROLLBACK"), (False, True)),
+        (("BEGIN", CALL, "SAVEPOINT a", "ROLLBACK TO a"), (True, True)),
+        (("SET autocommit=0",), (False, False)),
+        (("SET autocommit=0", CALL), (True, False)),
+        (("SET autocommit=0", CALL, "COMMIT"), (False, False)),
+        (("SET autocommit=0", CALL, "SET autocommit=1"), (False, True)),
+        (("BEGIN", CALL, "SET autocommit=1"), (True, True)),
+        (("BEGIN", "CREATE TABLE claims (id INT)"), (False, True)),
+        (("COMMIT", "ROLLBACK"), (False, True)),
+    ],
+)
+async def test_status_flags_follow_the_statements(run, statements, expected):
+    for sql in statements:
+        await run(sql)
+    assert flags(run) == expected
+
+
+@pytest.mark.parametrize(
+    "sql",
+    [
+        "COMMIT AND CHAIN",
+        "ROLLBACK RELEASE",
+        "SET autocommit=0, sql_mode=''",
+        "START SLAVE",
+        "SAVEPOINT a",
+    ],
+)
+async def test_form_that_is_not_served_is_refused(run, sql):
+    with pytest.raises(RefusedError):
+        await run(sql)
+
+
+async def test_committed_transaction_raises_the_token(bench, run, signer):
+    await run("BEGIN")
+    await run(CALL)
+    await run("COMMIT")
+    ((token,),) = (await run("SELECT @heatherpier_token")).rows
+    floor = signer.decode(token).floor("assist-core-1")
+    assert floor == bench.primary.position
+
+
+async def test_lost_transaction_is_refused_until_the_caller_ends_it(bench, proxy, run):
+    await run("BEGIN")
+    proxy.trap(traps.reset, CALL, after=True)
+    for sql in (CALL, CALL, "SELECT * FROM calls"):
+        with pytest.raises(NotRunError):
+            await run(sql)
+    assert flags(run) == (False, True)
+    await run("ROLLBACK")
+    await run(CALL)
+    assert bench.runs("linh") == 1
+
+
+async def test_end_of_the_session_rolls_back(bench, run):
+    await run("BEGIN")
+    await run(CALL)
+    await run.session.close()
+    assert bench.runs("linh") == 0
--- a/src/heatherpier/writes/tests/test_writer.py
+++ b/src/heatherpier/writes/tests/test_writer.py
@@ -87,7 +87,7 @@
         ("DELETE FROM heatherpier_requests", "heatherpier_requests"),
         ("DELETE FROM `heatherpier_requests`", "heatherpier_requests"),
         ("CALL book(1)", "CALL"),
-        ("SAVEPOINT a", "savepoint"),
+        ("SAVEPOINT a", "SAVEPOINT"),
     ],
 )
 async def test_statement_that_leaves_state_behind_is_refused(proxy, sql, word):
