Tell drivers that autocommit is on, and share the retry delays

Cause: PyMySQL opened with autocommit off committed each statement by itself, found by a test through two drivers. The handshake carried no status flags, so the driver took autocommit for off already and never turned it off.

Ruled out: the session, which had followed SET autocommit in its own tests.

Change: the packet adapter sets the flags before the handshake. The retry delays of the limits take the place of a second copy, and the resolver's three retry loops are one.

Before: rows [(1,), (2,)] after a rollback of 2.

--- a/src/heatherpier/bench/tests/test_whole_path.py
+++ b/src/heatherpier/bench/tests/test_whole_path.py
@@ -65,3 +65,46 @@
     cursor.execute("UPDATE jobs SET agent = 'mai' WHERE id = 2")
     assert cursor.rowcount == 1
     conn.close()
+
+
+@pytest.mark.parametrize("connect", [pymysql.connect, mysql.connector.connect])
+async def test_driver_without_autocommit_commits_and_rolls_back(fleet, connect):
+    def transact():
+        conn = connect(**{**caller(fleet), "autocommit": False})
+        cursor = conn.cursor()
+        cursor.execute("CREATE TABLE claims (id INT PRIMARY KEY)")
+        cursor.execute("INSERT INTO claims VALUES (1)")
+        conn.commit()
+        cursor.execute("INSERT INTO claims VALUES (2)")
+        conn.rollback()
+        cursor.execute("SELECT id FROM claims")
+        rows = list(cursor.fetchall())
+        conn.close()
+        return rows
+
+    assert await asyncio.to_thread(transact) == [(1,)]
+
+
+async def test_driver_sees_that_a_transaction_is_open(fleet):
+    def flags():
+        conn = mysql.connector.connect(**caller(fleet))
+        before = conn.in_transaction
+        conn.start_transaction()
+        inside = conn.in_transaction
+        conn.rollback()
+        return before, inside, conn.in_transaction
+
+    assert await asyncio.to_thread(flags) == (False, True, False)
+
+
+async def test_driver_gets_the_instances_own_error_number(fleet):
+    def insert_twice():
+        conn = pymysql.connect(**caller(fleet))
+        cursor = conn.cursor()
+        cursor.execute("CREATE TABLE seats (id INT PRIMARY KEY)")
+        cursor.execute("INSERT INTO seats VALUES (1)")
+        with pytest.raises(pymysql.err.IntegrityError) as caught:
+            cursor.execute("INSERT INTO seats VALUES (1)")
+        return caught.value.args[0]
+
+    assert await asyncio.to_thread(insert_twice) == 1062
--- a/src/heatherpier/callers/_packets.py
+++ b/src/heatherpier/callers/_packets.py
@@ -26,6 +26,8 @@
         self._affected_rows = 0
         self._last_insert_id = 0
         self._sqlstate: str | None = None
+        # Drivers learn from the handshake whether they must turn autocommit off.
+        self.set_status(in_transaction=False, autocommit=True)
         conn.ok = self._make_ok
         conn.error = self._make_error
 
--- a/src/heatherpier/writes/_begin.py
+++ b/src/heatherpier/writes/_begin.py
@@ -4,6 +4,7 @@
 from random import Random
 
 from heatherpier.groups import Group, GroupError, InstanceStatus, wait_for_position
+from heatherpier.limits import Backoff
 from heatherpier.requests import NotRunError, Request
 from heatherpier.timers import Timers
 from heatherpier.upstreams import (
@@ -15,7 +16,6 @@
 from heatherpier.writes._attempt import begin
 from heatherpier.writes._errors import AttemptLostError
 from heatherpier.writes._primary import RETRY_AFTER_MS, find_primary
-from heatherpier.writes._retry import Backoff
 from heatherpier.writes._transaction import Transaction
 
 IDLE_LIMIT_S = 30.0
@@ -36,7 +36,7 @@
         self, *, timers: Timers, rng: Random, idle_limit_s: float = IDLE_LIMIT_S
     ) -> None:
         self._timers = timers
-        self._rng = rng
+        self._backoff = Backoff(rng=rng)
         self._idle_limit_s = idle_limit_s
 
     async def open(self, group: Group, req: Request, *, read_only: bool) -> Transaction:
@@ -46,8 +46,9 @@
             ReadOnlyError: The group has no primary.
             NotRunError: None could be opened by the deadline.
         """
-        backoff = Backoff(self._rng)
+        tries = 0
         while True:
+            tries += 1
             primary = await find_primary(
                 group, timers=self._timers, deadline=req.deadline
             )
@@ -55,7 +56,7 @@
                 return await self._open(group, req, primary, read_only=read_only)
             except (UpstreamError, GroupError, AttemptLostError) as exc:
                 self._report(group, primary.instance, exc)
-                delay_s = backoff.next_s()
+                delay_s = self._backoff.delay_s(tries)
                 if self._timers.now() + delay_s >= req.deadline:
                     raise NotRunError(str(exc), retry_after_ms=RETRY_AFTER_MS) from exc
             await self._timers.sleep(delay_s)
--- a/src/heatherpier/writes/_resolver.py
+++ b/src/heatherpier/writes/_resolver.py
@@ -1,9 +1,11 @@
 """Finds out, on the current primary, what became of an attempt."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
+from functools import partial
 from random import Random
+from typing import TypeVar
 
 from heatherpier.groups import (
     Group,
@@ -14,6 +16,7 @@
     fetch_last_commit,
     fetch_status,
 )
+from heatherpier.limits import Backoff
 from heatherpier.requests import ReadOnlyError, RefusedError
 from heatherpier.telemetry import get_logger
 from heatherpier.timers import Timers
@@ -32,10 +35,11 @@
     find_record,
     insert_record,
 )
-from heatherpier.writes._retry import Backoff
 
 log = get_logger("writes")
 
+T = TypeVar("T")
+
 # Longest wait for a majority before the primary is looked for anew, in seconds.
 ACKNOWLEDGE_SLICE_S = 1.0
 RETRIABLE = (UpstreamError, GroupError, AttemptLostError)
@@ -96,7 +100,7 @@
 
     def __init__(self, *, timers: Timers, rng: Random) -> None:
         self._timers = timers
-        self._rng = rng
+        self._backoff = Backoff(rng=rng)
 
     async def look_up(
         self, group: Group, work: RequestRecord, *, deadline: float
@@ -107,12 +111,8 @@
             RefusedError: The key was used for another statement.
             UnresolvedError: That can't be told by the deadline.
         """
-        backoff = Backoff(self._rng)
-        while True:
-            try:
-                return await self._look_up_once(group, work, deadline=deadline)
-            except RETRIABLE as exc:
-                await self._pause(backoff, exc, deadline=deadline)
+        step = partial(self._look_up_once, group, work, deadline=deadline)
+        return await self._repeat(step, deadline=deadline)
 
     async def refuse(
         self, group: Group, work: RequestRecord, *, deadline: float
@@ -123,12 +123,8 @@
             RefusedError: The key was used for another statement.
             UnresolvedError: That can't be told by the deadline.
         """
-        backoff = Backoff(self._rng)
-        while True:
-            try:
-                return await self._refuse_once(group, work, deadline=deadline)
-            except RETRIABLE as exc:
-                await self._pause(backoff, exc, deadline=deadline)
+        step = partial(self._refuse_once, group, work, deadline=deadline)
+        return await self._repeat(step, deadline=deadline)
 
     async def create_table(self, group: Group, *, deadline: float) -> None:
         """Creates the table of records if it does not exist.
@@ -136,12 +132,8 @@
         Raises:
             UnresolvedError: That can't be done by the deadline.
         """
-        backoff = Backoff(self._rng)
-        while True:
-            try:
-                return await self._create_table_once(group, deadline=deadline)
-            except RETRIABLE as exc:
-                await self._pause(backoff, exc, deadline=deadline)
+        step = partial(self._create_table_once, group, deadline=deadline)
+        return await self._repeat(step, deadline=deadline)
 
     async def acknowledge(
         self, group: Group, position: LogPosition, *, instance: str, deadline: float
@@ -243,13 +235,18 @@
             group.suspect(primary.instance)
             raise
 
-    async def _pause(
-        self, backoff: Backoff, exc: Exception, *, deadline: float
-    ) -> None:
-        delay_s = backoff.next_s()
-        if self._timers.now() + delay_s >= deadline:
-            raise UnresolvedError(str(exc)) from exc
-        await self._timers.sleep(delay_s)
+    async def _repeat(self, step: Callable[[], Awaitable[T]], *, deadline: float) -> T:
+        """Repeats a step that changes nothing when it is done twice."""
+        tries = 0
+        while True:
+            tries += 1
+            try:
+                return await step()
+            except RETRIABLE as exc:
+                delay_s = self._backoff.delay_s(tries)
+                if self._timers.now() + delay_s >= deadline:
+                    raise UnresolvedError(str(exc)) from exc
+            await self._timers.sleep(delay_s)
 
 
 async def _find(conn: PooledConnection, work: RequestRecord) -> _Finding:
--- a/src/heatherpier/writes/_single.py
+++ b/src/heatherpier/writes/_single.py
@@ -9,6 +9,7 @@
     NotAcknowledgedError,
     fetch_status,
 )
+from heatherpier.limits import Backoff
 from heatherpier.requests import (
     AlreadyRunError,
     Answer,
@@ -58,7 +59,6 @@
     update_outcome,
 )
 from heatherpier.writes._resolver import Free, Ran, Resolver
-from heatherpier.writes._retry import Backoff
 from heatherpier.writes._standalone import StandaloneWriter
 
 log = get_logger("writes")
@@ -87,7 +87,7 @@
     ) -> None:
         self._timers = timers
         self._keys = keys
-        self._rng = rng
+        self._backoff = Backoff(rng=rng)
         self._resolver = resolver
         self._standalone = StandaloneWriter(timers=timers)
 
@@ -122,9 +122,10 @@
         Running it again needs no refusal: two runs of one attempt conflict on
         the record's primary key, so the database commits at most one of them.
         """
-        backoff = Backoff(self._rng)
         unknown = False
+        tries = 0
         while True:
+            tries += 1
             try:
                 return await self._attempt(group, req, record)
             except FinalError as exc:
@@ -142,7 +143,7 @@
                     return _answer(found)
                 record = record.numbered(found.attempt)
             log.info("write interrupted", key=record.key, reason=str(reason))
-            delay_s = backoff.next_s()
+            delay_s = self._backoff.delay_s(tries)
             if req.deadline - self._timers.now() <= REFUSAL_RESERVE_S + delay_s:
                 final = _not_run(reason)
                 return await self._end(group, req, record, final, unknown=unknown)
--- a/src/heatherpier/writes/tests/test_session.py
+++ b/src/heatherpier/writes/tests/test_session.py
@@ -23,7 +23,7 @@
     """Returns a function that runs a statement of one caller."""
     session = Session(
         groups={DATABASE: proxy.group},
-        reader=Reader(timers=timers, data_centre="south-a"),
+        reader=Reader(timers=timers, data_centre="south-a", rng=proxy.rng),
         writer=proxy.writer,
         signer=signer,
         timers=timers,
