Prune request records after their retention

Cause: request records were kept for ever.

Ruled out: expiry of each record by its own age, by which the refusal of an early attempt went before the later attempt that ran, and the key ran again.

--- a/src/heatherpier/_proxy.py
+++ b/src/heatherpier/_proxy.py
@@ -126,6 +126,7 @@
         admin = await self._start_admin(listener)
         for group in self._all_groups():
             self._watch(group)
+            self._writer.start_pruning(group)
         await listener.start(host=self._cfg.host, port=self._cfg.port)
         self._ready = True
         log.info("listening", host=self._cfg.host, port=self._cfg.port)
--- a/src/heatherpier/writes/_keys.py
+++ b/src/heatherpier/writes/_keys.py
@@ -37,7 +37,7 @@
         self._proxy = proxy
         self._rng = rng
         self._timers = timers
-        self._retention_ms = retention_ms
+        self.retention_ms = retention_ms
 
     def key_of(self, req: Request) -> str:
         """Returns the key of a request, made here if the caller gave none.
@@ -66,10 +66,10 @@
         if made_ms is None:
             return
         age_ms = self._timers.wall_ms() - made_ms
-        if age_ms > self._retention_ms:
+        if age_ms > self.retention_ms:
             raise RefusedError(
                 f"key {key!r} was made {age_ms} ms ago; outcomes are kept for "
-                f"{self._retention_ms} ms"
+                f"{self.retention_ms} ms"
             )
         if age_ms < -CLOCK_SKEW_MS:
             raise RefusedError(f"key {key!r} was made {-age_ms} ms in the future")
--- a/src/heatherpier/writes/_records.py
+++ b/src/heatherpier/writes/_records.py
@@ -152,3 +152,32 @@
         )
     except (ValueError, TypeError) as exc:
         raise UnexpectedAnswerError(f"request record: {rows[0]!r}") from exc
+
+
+async def find_expired_keys(
+    conn: PooledConnection, *, before_ms: int, limit: int, timeout_s: float
+) -> list[str]:
+    """Returns up to ``limit`` keys with records made before ``before_ms``."""
+    sql = (
+        "SELECT DISTINCT request_key FROM heatherpier_requests "
+        f"WHERE created_ms < {before_ms} LIMIT {limit}"
+    )
+    rows = (await conn.execute(sql, timeout_s=timeout_s)).rows
+    return [_text(row[0]) for row in rows]
+
+
+async def delete_records(
+    conn: PooledConnection, keys: list[str], *, before_ms: int, timeout_s: float
+) -> None:
+    """Deletes the records of ``keys`` that were made before ``before_ms``."""
+    listed = ", ".join(f"'{key}'" for key in keys)
+    sql = (
+        "DELETE FROM heatherpier_requests "
+        f"WHERE created_ms < {before_ms} AND request_key IN ({listed})"
+    )
+    await conn.execute(sql, timeout_s=timeout_s)
+
+
+def _text(value: str | bytes) -> str:
+    # Drivers give the values of VARBINARY columns as bytes.
+    return value.decode("ascii") if isinstance(value, bytes) else str(value)
--- a/src/heatherpier/writes/_writer.py
+++ b/src/heatherpier/writes/_writer.py
@@ -10,6 +10,7 @@
 from heatherpier.writes._caller import CallerTransactions
 from heatherpier.writes._commit import Committer
 from heatherpier.writes._keys import KeyMaker
+from heatherpier.writes._pruner import Pruner
 from heatherpier.writes._resolver import Resolver
 from heatherpier.writes._single import SingleWriter
 
@@ -42,6 +43,12 @@
             timers=timers, rng=rng, idle_limit_s=idle_limit_s
         )
 
+        self._pruner = Pruner(timers=timers, rng=rng, retention_ms=keys.retention_ms)
+
+    def start_pruning(self, group: Group) -> None:
+        """Prunes the group's request records until the group is closed."""
+        group.start(self._pruner.run(group))
+
     async def execute(self, group: Group, req: Request) -> Answer:
         """Runs one write outside a transaction.
 
