Measure what the record of a write costs

Cause: the cost of at-most-once writes was not known.

Change: heatherpier bench writes measures each kind of write against a plain one under virtual time.

--- a/src/heatherpier/_cli.py
+++ b/src/heatherpier/_cli.py
@@ -5,6 +5,7 @@
   heatherpier check DOCUMENT
   heatherpier bench instance --settings=FILE
   heatherpier bench demo [--deployment=NAME] [--proxies=N] [--seed=N]
+  heatherpier bench writes
   heatherpier version
   heatherpier (-h | --help)
 
--- a/src/heatherpier/bench/_commands.py
+++ b/src/heatherpier/bench/_commands.py
@@ -9,6 +9,7 @@
 from heatherpier.bench._demo import run_demo
 from heatherpier.bench._deployment import DEPLOYMENTS
 from heatherpier.bench._instance_server import run_instance
+from heatherpier.bench._write_cost import print_write_costs
 from heatherpier.settings import InvalidSettingsError
 
 EXIT_OK = 0
@@ -25,6 +26,9 @@
     if args["instance"]:
         asyncio.run(run_instance(Path(args["--settings"])))
         return EXIT_OK
+    if args["writes"]:
+        print_write_costs()
+        return EXIT_OK
     return _run_demo(args)
 
 
--- /dev/null
+++ b/src/heatherpier/bench/_write_cost.py
@@ -0,0 +1,203 @@
+"""Measures what a write costs more than a plain one, under virtual time."""
+
+import asyncio
+import random
+import statistics
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+from heatherpier.bench._cluster import GROUP, MemoryGroup, start_memory_group
+from heatherpier.groups import Group, fetch_last_commit
+from heatherpier.requests import Answer, Request
+from heatherpier.timers import LoopTimers, Timers, VirtualTimeLoop
+from heatherpier.upstreams import (
+    Connection,
+    Connector,
+    Instance,
+    PooledConnection,
+    Result,
+)
+from heatherpier.writes import KeyMaker, Writer
+
+RUNS = 50
+DELAYS_S = (0.001, 0.012)
+LAGS_MS = (0, 50)
+DEADLINE_S = 5.0
+ANSWER_S = 1.0
+MS_PER_S = 1000
+WALL_OFFSET_S = 1_700_000_000
+
+Write = Callable[[int], Awaitable[object]]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class WriteCost:
+    """Cost of one kind of write.
+
+    Attributes:
+        kind: Kind of write.
+        delay_ms: One-way delay between proxy and instances in milliseconds.
+        lag_ms: Replication delay in milliseconds.
+        statements: Statements on the primary for each write.
+        median_ms: Median time of a write in milliseconds of virtual time.
+    """
+
+    kind: str
+    delay_ms: int
+    lag_ms: int
+    statements: float
+    median_ms: float
+
+
+class _CountingConnector:
+    """Counts the statements that are sent to one instance."""
+
+    def __init__(self, connector: Connector, name: str) -> None:
+        self._connector = connector
+        self._name = name
+        self.statements = 0
+
+    async def connect(self, instance: Instance) -> Connection:
+        conn = await self._connector.connect(instance)
+        if instance.name != self._name:
+            return conn
+        return _CountingConnection(conn, self)
+
+
+class _CountingConnection:
+    """One connection to the counted instance."""
+
+    def __init__(self, conn: Connection, counter: _CountingConnector) -> None:
+        self._conn = conn
+        self._counter = counter
+
+    async def execute(self, sql: str) -> Result:
+        self._counter.statements += 1
+        return await self._conn.execute(sql)
+
+    def abort(self) -> None:
+        self._conn.abort()
+
+
+class _Writes:
+    """The kinds of writes that are compared."""
+
+    def __init__(self, group: Group, *, writer: Writer, timers: Timers) -> None:
+        self._group = group
+        self._writer = writer
+        self._timers = timers
+
+    def kinds(self) -> dict[str, Write]:
+        """Returns each kind as a function of the run's number."""
+        return {
+            "plain": self.plain,
+            "key made by the proxy": lambda n: self.write(n, key=None),
+            "key of the caller": lambda n: self.write(n, key=f"call-{n}"),
+            "repeat of a key": lambda n: self.write(n, key=f"call-{n}"),
+            "plain transaction": self.plain_transaction,
+            "transaction": self.transaction,
+        }
+
+    async def plain(self, number: int) -> None:
+        primary = self._group.primary().instance
+        async with self._group.pools[primary].borrow(timeout_s=ANSWER_S) as conn:
+            await conn.execute(_insert(number), timeout_s=ANSWER_S)
+            await self._acknowledge(conn)
+
+    async def plain_transaction(self, number: int) -> None:
+        primary = self._group.primary().instance
+        async with self._group.pools[primary].borrow(timeout_s=ANSWER_S) as conn:
+            for sql in ("BEGIN", _insert(number), _insert(number), "COMMIT"):
+                await conn.execute(sql, timeout_s=ANSWER_S)
+            await self._acknowledge(conn)
+
+    async def _acknowledge(self, conn: PooledConnection) -> None:
+        position = await fetch_last_commit(conn, timeout_s=ANSWER_S)
+        deadline = self._timers.now() + DEADLINE_S
+        await self._group.acknowledge(position, primary=conn.name, deadline=deadline)
+
+    async def write(self, number: int, *, key: str | None) -> Answer:
+        return await self._writer.execute(
+            self._group, self._request(_insert(number), key)
+        )
+
+    async def transaction(self, number: int) -> None:
+        caller = self._writer.open_caller(on_commit=lambda answer, group: None)
+        req = self._request("BEGIN", None)
+        await caller.begin(self._group, req, read_only=False)
+        for _ in range(2):
+            req = self._request(_insert(number), None)
+            await caller.execute(self._group, req, changes=True)
+        await caller.commit(self._request("COMMIT", None))
+
+    def _request(self, sql: str, key: str | None) -> Request:
+        deadline = self._timers.now() + DEADLINE_S
+        return Request(sql=sql, group=GROUP, deadline=deadline, key=key)
+
+
+def _insert(number: int) -> str:
+    return f"INSERT INTO calls VALUES ({number})"
+
+
+async def _measure(*, delay_s: float, lag_ms: int) -> list[WriteCost]:
+    timers = LoopTimers(wall_offset_s=WALL_OFFSET_S)
+    memory = start_memory_group(timers, lag_ms=lag_ms)
+    memory.network.delay_s = delay_s
+    try:
+        return await _measure_kinds(memory, timers)
+    finally:
+        await memory.close()
+
+
+async def _measure_kinds(memory: MemoryGroup, timers: Timers) -> list[WriteCost]:
+    primary = memory.instances[0].name
+    counter = _CountingConnector(memory.network.connector("proxy-1"), primary)
+    group = Group(memory.view("proxy-1").spec, connector=counter, timers=timers)
+    await group.refresh()
+    rng = random.Random(1)
+    keys = KeyMaker(proxy="proxy-1", rng=rng, timers=timers)
+    writer = Writer(timers=timers, keys=keys, rng=rng)
+    writes = _Writes(group, writer=writer, timers=timers)
+    await writer.execute(group, writes._request("CREATE TABLE calls (id INT)", None))
+    costs = []
+    for kind, write in writes.kinds().items():
+        await write(RUNS)
+        counter.statements = 0
+        times = [await _time(write, number, timers) for number in range(RUNS)]
+        costs.append(
+            WriteCost(
+                kind=kind,
+                delay_ms=round(memory.network.delay_s * MS_PER_S),
+                lag_ms=memory.instances[0].faults.lag_ms,
+                statements=counter.statements / RUNS,
+                median_ms=round(statistics.median(times) * MS_PER_S, 1),
+            )
+        )
+    group.close()
+    return costs
+
+
+async def _time(write: Write, number: int, timers: Timers) -> float:
+    began = timers.now()
+    await write(number)
+    return timers.now() - began
+
+
+def measure_write_costs() -> list[WriteCost]:
+    """Measures each kind of write at each delay and lag."""
+    costs = []
+    for delay_s in DELAYS_S:
+        for lag_ms in LAGS_MS:
+            with asyncio.Runner(loop_factory=VirtualTimeLoop) as runner:
+                costs += runner.run(_measure(delay_s=delay_s, lag_ms=lag_ms))
+    return costs
+
+
+def print_write_costs() -> None:
+    """Prints the table of `measure_write_costs`."""
+    print(f"{'kind':24}{'one-way':>9}{'lag':>7}{'statements':>12}{'median':>11}")
+    for cost in measure_write_costs():
+        print(
+            f"{cost.kind:24}{cost.delay_ms:>6} ms{cost.lag_ms:>4} ms"
+            f"{cost.statements:>12.1f}{cost.median_ms:>8.1f} ms"
+        )
