Give the final answer of a write by its deadline

Cause: control statements took up to 1 s each whatever time was left, and a COMMIT could be sent after the deadline.

Change: BEGIN, the outcome, COMMIT and the position are bounded by the time left, no COMMIT is sent after the deadline, and a resolution ends at it.

--- a/src/heatherpier/writes/_attempt.py
+++ b/src/heatherpier/writes/_attempt.py
@@ -51,11 +51,18 @@
     position: LogPosition
 
 
-async def begin(conn: PooledConnection, *, sql: str = "BEGIN") -> None:
+def control_limit_s(deadline: float, *, timers: Timers) -> float:
+    """Returns how long a control statement may take, in seconds."""
+    return min(deadline - timers.now(), CONTROL_TIMEOUT_S)
+
+
+async def begin(
+    conn: PooledConnection, *, timeout_s: float, sql: str = "BEGIN"
+) -> None:
     """Opens a transaction; the pool closes the connection if it is not ended."""
     conn.in_transaction = True
     try:
-        await conn.execute(sql, timeout_s=CONTROL_TIMEOUT_S)
+        await conn.execute(sql, timeout_s=timeout_s)
     except UpstreamError as exc:
         raise AttemptLostError(f"BEGIN: {exc}") from exc
 
@@ -114,18 +121,28 @@
 
 
 async def commit(
-    conn: PooledConnection, result: Result, *, timeout_s: float = CONTROL_TIMEOUT_S
+    conn: PooledConnection, result: Result, *, timers: Timers, deadline: float
 ) -> Committed:
     """Commits the open transaction.
 
+    Args:
+        conn: Connection that holds it.
+        result: Answer of its statement.
+        timers: Timer service.
+        deadline: Monotonic time in seconds; no COMMIT is sent after it.
+
     Raises:
-        AttemptLostError: The instance refused the commit, so it has no effect.
+        AttemptLostError: The instance refused the commit, or none was sent.
         CommitUnknownError: The answer or the position was lost.
     """
+    limit = control_limit_s(deadline, timers=timers)
+    if limit <= 0:
+        await rollback(conn)
+        raise AttemptLostError("the deadline passed before COMMIT")
     try:
-        await conn.execute("COMMIT", timeout_s=timeout_s)
+        await conn.execute("COMMIT", timeout_s=limit)
         conn.in_transaction = False
-        position = await fetch_last_commit(conn, timeout_s=CONTROL_TIMEOUT_S)
+        position = await fetch_last_commit(conn, timeout_s=limit)
     except StatementError as exc:
         if exc.code == ServerError.READ_ONLY and conn.in_transaction:
             await rollback(conn)
--- a/src/heatherpier/writes/_begin.py
+++ b/src/heatherpier/writes/_begin.py
@@ -13,7 +13,7 @@
     PooledConnection,
     UpstreamError,
 )
-from heatherpier.writes._attempt import begin
+from heatherpier.writes._attempt import begin, control_limit_s
 from heatherpier.writes._errors import AttemptLostError
 from heatherpier.writes._primary import RETRY_AFTER_MS, find_primary
 from heatherpier.writes._transaction import Transaction
@@ -76,7 +76,8 @@
             conn = await stack.enter_async_context(pool.borrow(timeout_s=left))
             await self._require_floor(conn, req)
             sql = "START TRANSACTION READ ONLY" if read_only else "BEGIN"
-            await begin(conn, sql=sql)
+            limit = control_limit_s(req.deadline, timers=self._timers)
+            await begin(conn, timeout_s=limit, sql=sql)
             return Transaction(
                 group,
                 conn,
--- a/src/heatherpier/writes/_commit.py
+++ b/src/heatherpier/writes/_commit.py
@@ -148,7 +148,9 @@
                 record = await _next_attempt(conn, record)
             left = req.deadline - self._timers.now()
             await claim_attempt(conn, record, timers=self._timers, timeout_s=left)
-            committed = await commit(conn, Result())
+            committed = await commit(
+                conn, Result(), timers=self._timers, deadline=req.deadline
+            )
             await transaction.release()
             return await self._acknowledge(group, committed, conn.name, req)
         except (AttemptLostError, MissingTableError) as exc:
--- a/src/heatherpier/writes/_resolver.py
+++ b/src/heatherpier/writes/_resolver.py
@@ -241,7 +241,10 @@
         while True:
             tries += 1
             try:
-                return await step()
+                async with self._timers.timeout_at(deadline):
+                    return await step()
+            except TimeoutError as exc:
+                raise UnresolvedError("the deadline passed") from exc
             except RETRIABLE as exc:
                 delay_s = self._backoff.delay_s(tries)
                 if self._timers.now() + delay_s >= deadline:
--- a/src/heatherpier/writes/_single.py
+++ b/src/heatherpier/writes/_single.py
@@ -37,6 +37,7 @@
     begin,
     claim_attempt,
     commit,
+    control_limit_s,
     rollback,
 )
 from heatherpier.writes._errors import (
@@ -224,7 +225,7 @@
         record: RequestRecord,
         primary: InstanceStatus,
     ) -> Committed:
-        await begin(conn)
+        await begin(conn, timeout_s=self._control_limit_s(req))
         if req.key is None:
             # No other try can hold this key, so one round trip less will do.
             result = await self._run_statement(conn, req, primary)
@@ -234,8 +235,8 @@
             # effects.
             await self._claim(conn, req, record)
             result = await self._run_statement(conn, req, primary)
-            await self._store_outcome(conn, record.with_outcome(result))
-        return await commit(conn, result)
+            await self._store_outcome(conn, req, record.with_outcome(result))
+        return await commit(conn, result, timers=self._timers, deadline=req.deadline)
 
     async def _claim(
         self, conn: PooledConnection, req: Request, record: RequestRecord
@@ -244,10 +245,11 @@
         await claim_attempt(conn, record, timers=self._timers, timeout_s=limit)
 
     async def _store_outcome(
-        self, conn: PooledConnection, record: RequestRecord
+        self, conn: PooledConnection, req: Request, record: RequestRecord
     ) -> None:
         try:
-            await update_outcome(conn, record, timeout_s=CONTROL_TIMEOUT_S)
+            limit = self._control_limit_s(req)
+            await update_outcome(conn, record, timeout_s=limit)
         except UpstreamError as exc:
             raise AttemptLostError(str(exc)) from exc
 
@@ -262,6 +264,9 @@
         except UpstreamError as exc:
             raise AttemptLostError(str(exc)) from exc
 
+    def _control_limit_s(self, req: Request) -> float:
+        return control_limit_s(req.deadline, timers=self._timers)
+
     def _answer_limit_s(self, req: Request) -> float:
         left = req.deadline - self._timers.now()
         return max(left * ANSWER_SHARE, min(left, SHORTEST_ANSWER_LIMIT_S))
--- a/src/heatherpier/writes/tests/test_faults.py
+++ b/src/heatherpier/writes/tests/test_faults.py
@@ -23,6 +23,8 @@
 RECORD = "INSERT INTO heatherpier_requests"
 OUTCOME = "UPDATE heatherpier_requests"
 LOOK_UP = "SELECT attempt"
+# Time that a rollback and the last control answer may take past the deadline.
+ANSWER_GRACE_S = 0.1
 
 # Moment: statement at which the fault comes, and whether after its effect.
 MOMENTS = {
@@ -162,6 +164,16 @@
     await check_promises(bench, None)
 
 
+@pytest.mark.parametrize("fault", [traps.silence, traps.pause, traps.stop_replication])
+@pytest.mark.parametrize("moment", MOMENTS)
+async def test_final_answer_comes_by_the_deadline(bench, proxy, timers, moment, fault):
+    prefix, after = MOMENTS[moment]
+    proxy.trap(fault, prefix, after=after)
+    began = timers.now()
+    await outcome_of(proxy, key="call-1", budget_s=0.9)
+    assert timers.now() - began <= 0.9 + ANSWER_GRACE_S
+
+
 async def test_concurrent_tries_of_a_key_run_once(bench, proxy):
     other = await bench.proxy("proxy-2", seed=8)
     await asyncio.gather(
