--- a/src/heatherpier/writes/_single.py
+++ b/src/heatherpier/writes/_single.py
@@ -4,10 +4,6 @@
 
 from heatherpier.groups import (
     Group,
-    GroupError,
-    InstanceStatus,
-    NotAcknowledgedError,
-    fetch_status,
 )
 from heatherpier.limits import Backoff
 from heatherpier.requests import (
@@ -18,49 +14,28 @@
     OutcomeUnknownError,
     RefusedError,
     Request,
-    StatementRejectedError,
 )
 from heatherpier.telemetry import get_logger
 from heatherpier.timers import Timers
-from heatherpier.upstreams import (
-    ConnectError,
-    PoolBusyError,
-    PooledConnection,
-    Result,
-    StatementError,
-    UpstreamError,
-)
-from heatherpier.writes._attempt import (
-    CONTROL_TIMEOUT_S,
-    Committed,
-    ServerError,
-    begin,
-    claim_attempt,
-    commit,
-    control_limit_s,
-    rollback,
-)
 from heatherpier.writes._errors import (
     AttemptLostError,
     CommitUnknownError,
-    ContendedError,
     MissingTableError,
     RecordExistsError,
-    RejectedError,
     UnresolvedError,
     WriteError,
 )
 from heatherpier.writes._keys import KeyMaker
 from heatherpier.writes._kinds import Standalone, Uncarried, kind_of
-from heatherpier.writes._primary import RETRY_AFTER_MS, find_primary
+from heatherpier.writes._primary import RETRY_AFTER_MS
 from heatherpier.writes._records import (
     ROWS_NOT_KEPT,
     RecordState,
     RequestRecord,
     fingerprint_of,
-    update_outcome,
 )
 from heatherpier.writes._resolver import Free, Ran, Resolver
+from heatherpier.writes._runner import AttemptRunner
 from heatherpier.writes._standalone import StandaloneWriter
 
 log = get_logger("writes")
@@ -68,10 +43,6 @@
 # Time before the deadline that is kept for the refusal of an attempt whose
 # outcome is unknown, in seconds.
 REFUSAL_RESERVE_S = 0.3
-# Share of the time left that one answer may take, so that a connection that
-# went silent leaves time for another attempt.
-ANSWER_SHARE = 0.5
-SHORTEST_ANSWER_LIMIT_S = 0.5
 
 
 class SingleWriter:
@@ -91,6 +62,7 @@
         self._keys = keys
         self._backoff = Backoff(rng=rng)
         self._resolver = resolver
+        self._runner = AttemptRunner(timers=timers, resolver=resolver)
         self._standalone = StandaloneWriter(timers=timers)
 
     async def execute(self, group: Group, req: Request) -> Answer:
@@ -129,7 +101,7 @@
         while True:
             tries += 1
             try:
-                return await self._attempt(group, req, record)
+                return await self._runner.run(group, req, record)
             except FinalError as exc:
                 return await self._end(group, req, record, exc, unknown=unknown)
             except AttemptLostError as exc:
@@ -185,118 +157,6 @@
             return _answer(found)
         raise final
 
-    async def _attempt(
-        self, group: Group, req: Request, record: RequestRecord
-    ) -> Answer:
-        primary = await find_primary(group, timers=self._timers, deadline=req.deadline)
-        name = primary.instance
-        left = req.deadline - self._timers.now()
-        try:
-            async with group.pools[name].borrow(timeout_s=left) as conn:
-                committed = await self._run(conn, req, record, primary)
-        except ConnectError as exc:
-            if not isinstance(exc, PoolBusyError):
-                group.report_failure(name)
-            raise AttemptLostError(str(exc)) from exc
-        except (AttemptLostError, CommitUnknownError) as exc:
-            if not isinstance(exc, ContendedError):
-                group.suspect(name)
-            raise
-        except RejectedError as exc:
-            await self._confirm_rejection(group, req, exc, instance=name)
-            raise _rejection(exc.cause) from exc
-        try:
-            await self._resolver.acknowledge(
-                group, committed.position, instance=name, deadline=req.deadline
-            )
-        except NotAcknowledgedError as exc:
-            raise CommitUnknownError(str(exc)) from exc
-        return Answer(
-            result=committed.result,
-            position=committed.position,
-            instance=name,
-            replica=False,
-        )
-
-    async def _run(
-        self,
-        conn: PooledConnection,
-        req: Request,
-        record: RequestRecord,
-        primary: InstanceStatus,
-    ) -> Committed:
-        await begin(conn, timeout_s=self._control_limit_s(req))
-        if req.key is None:
-            # No other try can hold this key, so one round trip less will do.
-            result = await self._run_statement(conn, req, primary)
-            await self._claim(conn, req, record.with_outcome(result))
-        else:
-            # A second try must find the record before it meets the first one's
-            # effects.
-            await self._claim(conn, req, record)
-            result = await self._run_statement(conn, req, primary)
-            await self._store_outcome(conn, req, record.with_outcome(result))
-        return await commit(conn, result, timers=self._timers, deadline=req.deadline)
-
-    async def _claim(
-        self, conn: PooledConnection, req: Request, record: RequestRecord
-    ) -> None:
-        limit = self._answer_limit_s(req)
-        await claim_attempt(conn, record, timers=self._timers, timeout_s=limit)
-
-    async def _store_outcome(
-        self, conn: PooledConnection, req: Request, record: RequestRecord
-    ) -> None:
-        try:
-            limit = self._control_limit_s(req)
-            await update_outcome(conn, record, timeout_s=limit)
-        except UpstreamError as exc:
-            raise AttemptLostError(str(exc)) from exc
-
-    async def _run_statement(
-        self, conn: PooledConnection, req: Request, primary: InstanceStatus
-    ) -> Result:
-        try:
-            return await conn.execute(req.sql, timeout_s=self._answer_limit_s(req))
-        except StatementError as exc:
-            await rollback(conn)
-            raise await _judge_rejection(conn, exc, primary) from exc
-        except UpstreamError as exc:
-            raise AttemptLostError(str(exc)) from exc
-
-    def _control_limit_s(self, req: Request) -> float:
-        return control_limit_s(req.deadline, timers=self._timers)
-
-    def _answer_limit_s(self, req: Request) -> float:
-        left = req.deadline - self._timers.now()
-        return max(left * ANSWER_SHARE, min(left, SHORTEST_ANSWER_LIMIT_S))
-
-    async def _confirm_rejection(
-        self, group: Group, req: Request, exc: RejectedError, *, instance: str
-    ) -> None:
-        """Makes sure that the instance rejected the statement by lasting data."""
-        try:
-            await self._resolver.acknowledge(
-                group, exc.position, instance=instance, deadline=req.deadline
-            )
-        except NotAcknowledgedError as lost:
-            raise AttemptLostError(str(lost)) from exc
-
-
-async def _judge_rejection(
-    conn: PooledConnection, exc: StatementError, primary: InstanceStatus
-) -> RejectedError | AttemptLostError:
-    """Tells a rejection by the primary from one by an instance that is none."""
-    if exc.code == ServerError.READ_ONLY:
-        return AttemptLostError(str(exc))
-    try:
-        status = await fetch_status(conn, timeout_s=CONTROL_TIMEOUT_S)
-    except (UpstreamError, GroupError) as lost:
-        return AttemptLostError(str(lost))
-    if not status.leads() or status.adopted_term != primary.adopted_term:
-        return AttemptLostError(f"{conn.name} is no longer the primary")
-    return RejectedError(exc, position=status.position)
-
 
 def _answer(found: Ran) -> Answer:
     """Returns the first outcome of a key.
@@ -314,12 +174,6 @@
     )
 
 
-def _rejection(exc: StatementError) -> StatementRejectedError:
-    return StatementRejectedError(
-        code=exc.code, sqlstate=exc.sqlstate, message=exc.message
-    )
-
-
 def _not_run(reason: Exception) -> NotRunError:
     return NotRunError(str(reason), retry_after_ms=RETRY_AFTER_MS)
 
--- a/src/heatherpier/writes/tests/conftest.py
+++ b/src/heatherpier/writes/tests/conftest.py
@@ -46,7 +46,7 @@
         rng = random.Random(seed)
         keys = KeyMaker(proxy=name, rng=rng, timers=self.timers)
         writer = Writer(timers=self.timers, keys=keys, rng=rng)
-        return Proxy(self, group, writer, connector.traps, rng)
+        return Proxy(self, group, writer, connector, rng)
 
     async def _probe(self, group):
         async for _ in self.timers.every(PROBE_S):
@@ -100,14 +100,15 @@
     bench: WriteBench
     group: object
     writer: Writer
-    traps: list
+    connector: TrapConnector
     rng: random.Random
 
     def trap(self, fault, prefix, *, after=False):
         """Springs ``fault`` when this proxy sends a statement."""
         spring = spring_of(fault, self.bench)
-        self.traps.append(Trap(prefix, after, spring))
-        return self.traps[-1]
+        trap = Trap(prefix, after, spring)
+        self.connector.traps.append(trap)
+        return trap
 
     def caller(self):
         """Returns a caller without an open transaction."""
--- a/src/heatherpier/writes/tests/test_faults.py
+++ b/src/heatherpier/writes/tests/test_faults.py
@@ -15,7 +15,7 @@
     OutcomeUnknownError,
     ReadOnlyError,
 )
-from heatherpier.writes import _resolver, _single
+from heatherpier.writes import _resolver, _runner, _single
 from heatherpier.writes.tests import traps
 
 CALL = "INSERT INTO calls VALUES ('linh')"
@@ -189,8 +189,8 @@
     async def nothing(*args, **kwargs):
         return None
 
-    monkeypatch.setattr(_single, "claim_attempt", nothing)
-    monkeypatch.setattr(_single, "update_outcome", nothing)
+    monkeypatch.setattr(_runner, "claim_attempt", nothing)
+    monkeypatch.setattr(_runner, "update_outcome", nothing)
 
 
 def without_refusals(monkeypatch):
--- a/src/heatherpier/writes/tests/test_writer.py
+++ b/src/heatherpier/writes/tests/test_writer.py
@@ -44,6 +44,16 @@
     assert (caught.value.code, caught.value.sqlstate) == (1062, "23000")
 
 
+async def test_rejections_and_repeats_keep_their_connection(proxy):
+    await proxy.write(INSERT, key="claim-1")
+    connects = proxy.connector.connects
+    for _ in range(3):
+        await proxy.write(INSERT, key="claim-1")
+        with pytest.raises(StatementRejectedError):
+            await proxy.write(INSERT)
+    assert proxy.connector.connects == connects
+
+
 async def test_key_of_a_rejected_statement_runs_again(proxy):
     with pytest.raises(StatementRejectedError):
         await proxy.write("UPDATE claims SET id = 1", key="claim-1")
--- a/src/heatherpier/writes/tests/traps.py
+++ b/src/heatherpier/writes/tests/traps.py
@@ -32,8 +32,10 @@
     def __init__(self, connector):
         self._connector = connector
         self.traps = []
+        self.connects = 0
 
     async def connect(self, instance):
+        self.connects += 1
         conn = await self._connector.connect(instance)
         return TrapConnection(conn, self.traps)
 
