--- a/src/heatherpier/writes/_attempt.py
+++ b/src/heatherpier/writes/_attempt.py
@@ -1,6 +1,6 @@
 """One attempt of a write, in one database transaction with its record."""
 
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from enum import IntEnum
 
 from heatherpier.groups import GroupError, LogPosition, fetch_last_commit
@@ -19,7 +19,6 @@
     RecordExistsError,
 )
 from heatherpier.writes._records import (
-    RecordState,
     RequestRecord,
     insert_record,
     keep_refusals,
@@ -52,11 +51,18 @@
     position: LogPosition
 
 
-async def begin(conn: PooledConnection, *, sql: str = "BEGIN") -> None:
+def control_limit_s(deadline: float, *, timers: Timers) -> float:
+    """Returns how long a control statement may take, in seconds."""
+    return min(deadline - timers.now(), CONTROL_TIMEOUT_S)
+
+
+async def begin(
+    conn: PooledConnection, *, timeout_s: float, sql: str = "BEGIN"
+) -> None:
     """Opens a transaction; the pool closes the connection if it is not ended."""
     conn.in_transaction = True
     try:
-        await conn.execute(sql, timeout_s=CONTROL_TIMEOUT_S)
+        await conn.execute(sql, timeout_s=timeout_s)
     except UpstreamError as exc:
         raise AttemptLostError(f"BEGIN: {exc}") from exc
 
@@ -115,18 +121,28 @@
 
 
 async def commit(
-    conn: PooledConnection, result: Result, *, timeout_s: float = CONTROL_TIMEOUT_S
+    conn: PooledConnection, result: Result, *, timers: Timers, deadline: float
 ) -> Committed:
     """Commits the open transaction.
 
+    Args:
+        conn: Connection that holds it.
+        result: Answer of its statement.
+        timers: Timer service.
+        deadline: Monotonic time in seconds; no COMMIT is sent after it.
+
     Raises:
-        AttemptLostError: The instance refused the commit, so it has no effect.
+        AttemptLostError: The instance refused the commit, or none was sent.
         CommitUnknownError: The answer or the position was lost.
     """
+    limit = control_limit_s(deadline, timers=timers)
+    if limit <= 0:
+        await rollback(conn)
+        raise AttemptLostError("the deadline passed before COMMIT")
     try:
-        await conn.execute("COMMIT", timeout_s=timeout_s)
+        await conn.execute("COMMIT", timeout_s=limit)
         conn.in_transaction = False
-        position = await fetch_last_commit(conn, timeout_s=CONTROL_TIMEOUT_S)
+        position = await fetch_last_commit(conn, timeout_s=limit)
     except StatementError as exc:
         if exc.code == ServerError.READ_ONLY and conn.in_transaction:
             await rollback(conn)
@@ -135,8 +151,3 @@
     except (UpstreamError, GroupError) as exc:
         raise CommitUnknownError(f"COMMIT: {exc}") from exc
     return Committed(result=result, position=position)
-
-
-def refusal_of(record: RequestRecord) -> RequestRecord:
-    """Returns the record that refuses an attempt."""
-    return replace(record, state=RecordState.REFUSED)
--- a/src/heatherpier/writes/_records.py
+++ b/src/heatherpier/writes/_records.py
@@ -2,7 +2,7 @@
 
 import hashlib
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 
 from heatherpier.groups import UnexpectedAnswerError
@@ -54,6 +54,25 @@
     affected_rows: int = 0
     insert_id: int = 0
 
+    def numbered(self, attempt: int) -> "RequestRecord":
+        """Returns the record of another attempt."""
+        return replace(self, attempt=attempt)
+
+    def with_fingerprint(self, fingerprint: str) -> "RequestRecord":
+        """Returns the record with the hash of its statements."""
+        return replace(self, fingerprint=fingerprint)
+
+    def with_outcome(self, result: Result) -> "RequestRecord":
+        """Returns the record with what the statement answered."""
+        affected_rows = ROWS_NOT_KEPT if result.columns else result.affected_rows
+        return replace(
+            self, affected_rows=affected_rows, insert_id=result.last_insert_id
+        )
+
+    def refusal(self) -> "RequestRecord":
+        """Returns the record that refuses the attempt."""
+        return replace(self, state=RecordState.REFUSED)
+
     def result(self) -> Result:
         """Returns the outcome as the statement answered it."""
         return Result(affected_rows=self.affected_rows, last_insert_id=self.insert_id)
@@ -100,13 +119,12 @@
 
 
 async def update_outcome(
-    conn: PooledConnection, record: RequestRecord, result: Result, *, timeout_s: float
+    conn: PooledConnection, record: RequestRecord, *, timeout_s: float
 ) -> None:
-    """Adds the outcome of the statement to its record."""
-    affected_rows = ROWS_NOT_KEPT if result.columns else result.affected_rows
+    """Stores the outcome of the statement in its record."""
     sql = (
         "UPDATE heatherpier_requests "
-        f"SET affected_rows = {affected_rows}, insert_id = {result.last_insert_id} "
+        f"SET affected_rows = {record.affected_rows}, insert_id = {record.insert_id} "
         f"WHERE request_key = '{record.key}' AND attempt = {record.attempt}"
     )
     await conn.execute(sql, timeout_s=timeout_s)
@@ -140,3 +158,32 @@
         )
     except (ValueError, TypeError) as exc:
         raise UnexpectedAnswerError(f"request record: {rows[0]!r}") from exc
+
+
+async def find_expired_keys(
+    conn: PooledConnection, *, before_ms: int, limit: int, timeout_s: float
+) -> list[str]:
+    """Returns up to ``limit`` keys with records made before ``before_ms``."""
+    sql = (
+        "SELECT DISTINCT request_key FROM heatherpier_requests "
+        f"WHERE created_ms < {before_ms} LIMIT {limit}"
+    )
+    rows = (await conn.execute(sql, timeout_s=timeout_s)).rows
+    return [_text(row[0]) for row in rows]
+
+
+async def delete_records(
+    conn: PooledConnection, keys: list[str], *, before_ms: int, timeout_s: float
+) -> None:
+    """Deletes the records of ``keys`` that were made before ``before_ms``."""
+    listed = ", ".join(f"'{key}'" for key in keys)
+    sql = (
+        "DELETE FROM heatherpier_requests "
+        f"WHERE created_ms < {before_ms} AND request_key IN ({listed})"
+    )
+    await conn.execute(sql, timeout_s=timeout_s)
+
+
+def _text(value: str | bytes) -> str:
+    # Drivers give the values of VARBINARY columns as bytes.
+    return value.decode("ascii") if isinstance(value, bytes) else str(value)
--- a/src/heatherpier/writes/tests/conftest.py
+++ b/src/heatherpier/writes/tests/conftest.py
@@ -46,7 +46,7 @@
         rng = random.Random(seed)
         keys = KeyMaker(proxy=name, rng=rng, timers=self.timers)
         writer = Writer(timers=self.timers, keys=keys, rng=rng)
-        return Proxy(self, group, writer, connector.traps, rng)
+        return Proxy(self, group, writer, connector, rng)
 
     async def _probe(self, group):
         async for _ in self.timers.every(PROBE_S):
@@ -100,18 +100,53 @@
     bench: WriteBench
     group: object
     writer: Writer
-    traps: list
+    connector: TrapConnector
     rng: random.Random
 
     def trap(self, fault, prefix, *, after=False):
         """Springs ``fault`` when this proxy sends a statement."""
         spring = spring_of(fault, self.bench)
-        self.traps.append(Trap(prefix, after, spring))
+        trap = Trap(prefix, after, spring)
+        self.connector.traps.append(trap)
+        return trap
 
-    async def write(self, sql, *, budget_s=4.0, **fields):
+    def caller(self):
+        """Returns a caller without an open transaction."""
+        return Caller(self)
+
+    def request(self, sql, *, budget_s=4.0, **fields):
         deadline = self.bench.timers.now() + budget_s
-        req = Request(sql=sql, group=GROUP, deadline=deadline, **fields)
-        return await self.writer.execute(self.group, req)
+        return Request(sql=sql, group=GROUP, deadline=deadline, **fields)
+
+    async def write(self, sql, **fields):
+        return await self.writer.execute(self.group, self.request(sql, **fields))
+
+
+class Caller:
+    """One caller of a proxy; keeps the answers of its commits."""
+
+    def __init__(self, proxy):
+        self.proxy = proxy
+        self.commits = []
+        self.transactions = proxy.writer.open_caller(
+            on_commit=lambda answer, group: self.commits.append(answer)
+        )
+
+    async def begin(self, *, read_only=False, **fields):
+        req = self.proxy.request("BEGIN", **fields)
+        await self.transactions.begin(self.proxy.group, req, read_only=read_only)
+
+    async def run(self, sql, **fields):
+        changes = not sql.startswith("SELECT")
+        req = self.proxy.request(sql, **fields)
+        answer = await self.transactions.execute(self.proxy.group, req, changes=changes)
+        return answer.result
+
+    async def commit(self, **fields):
+        await self.transactions.commit(self.proxy.request("COMMIT", **fields))
+
+    async def mark(self, sql):
+        await self.transactions.mark(self.proxy.request(sql))
 
 
 @pytest.fixture
--- a/src/heatherpier/writes/tests/test_faults.py
+++ b/src/heatherpier/writes/tests/test_faults.py
@@ -15,7 +15,7 @@
     OutcomeUnknownError,
     ReadOnlyError,
 )
-from heatherpier.writes import _resolver, _writer
+from heatherpier.writes import _resolver, _runner, _single
 from heatherpier.writes.tests import traps
 
 CALL = "INSERT INTO calls VALUES ('linh')"
@@ -23,6 +23,8 @@
 RECORD = "INSERT INTO heatherpier_requests"
 OUTCOME = "UPDATE heatherpier_requests"
 LOOK_UP = "SELECT attempt"
+# Time that a rollback and the last control answer may take past the deadline.
+ANSWER_GRACE_S = 0.1
 
 # Moment: statement at which the fault comes, and whether after its effect.
 MOMENTS = {
@@ -36,6 +38,15 @@
     "before the position": ("CALL group_last_commit", False),
     "during acknowledgement": ("CALL group_wait", False),
 }
+# The record follows the statement where the proxy made the key.
+MOMENTS_WITHOUT_KEY = {
+    "before the statement": (CALL, False),
+    "after the statement": (CALL, True),
+    "after the record": (RECORD, True),
+    "at COMMIT before the effect": ("COMMIT", False),
+    "at COMMIT after the effect": ("COMMIT", True),
+    "during acknowledgement": ("CALL group_wait", False),
+}
 FAULTS = [
     traps.reset,
     traps.silence,
@@ -74,8 +85,20 @@
 @pytest.mark.parametrize("moment", MOMENTS)
 async def test_write_survives_one_fault(bench, proxy, moment, fault):
     prefix, after = MOMENTS[moment]
-    proxy.trap(fault, prefix, after=after)
+    trap = proxy.trap(fault, prefix, after=after)
     outcome = await outcome_of(proxy, key="call-1")
+    assert trap.sprung
+    assert outcome is None
+    await check_promises(bench, outcome)
+
+
+@pytest.mark.parametrize("fault", FAULTS, ids=lambda fault: fault.__name__)
+@pytest.mark.parametrize("moment", MOMENTS_WITHOUT_KEY)
+async def test_write_without_a_key_survives_one_fault(bench, proxy, moment, fault):
+    prefix, after = MOMENTS_WITHOUT_KEY[moment]
+    trap = proxy.trap(fault, prefix, after=after)
+    outcome = await outcome_of(proxy)
+    assert trap.sprung
     assert outcome is None
     await check_promises(bench, outcome)
 
@@ -86,8 +109,9 @@
     bench, proxy, moment, second
 ):
     proxy.trap(traps.reset, "COMMIT", after=True)
-    proxy.trap(second, moment)
+    trap = proxy.trap(second, moment)
     outcome = await outcome_of(proxy, key="call-1", budget_s=6.0)
+    assert trap.sprung
     await check_promises(bench, outcome, key="call-1")
     assert outcome is None
 
@@ -132,6 +156,24 @@
     await check_promises(bench, outcome, key="call-1")
 
 
+@pytest.mark.parametrize("key", [None, "call-1"])
+async def test_own_late_commit_is_not_taken_for_anothers_row(bench, proxy, key):
+    sql = "INSERT INTO jobs VALUES (1, 'linh')"
+    proxy.trap(traps.stall_commit, "COMMIT")
+    assert await outcome_of(proxy, sql, key=key) is None
+    await check_promises(bench, None)
+
+
+@pytest.mark.parametrize("fault", [traps.silence, traps.pause, traps.stop_replication])
+@pytest.mark.parametrize("moment", MOMENTS)
+async def test_final_answer_comes_by_the_deadline(bench, proxy, timers, moment, fault):
+    prefix, after = MOMENTS[moment]
+    proxy.trap(fault, prefix, after=after)
+    began = timers.now()
+    await outcome_of(proxy, key="call-1", budget_s=0.9)
+    assert timers.now() - began <= 0.9 + ANSWER_GRACE_S
+
+
 async def test_concurrent_tries_of_a_key_run_once(bench, proxy):
     other = await bench.proxy("proxy-2", seed=8)
     await asyncio.gather(
@@ -147,8 +189,8 @@
     async def nothing(*args, **kwargs):
         return None
 
-    monkeypatch.setattr(_writer, "claim_attempt", nothing)
-    monkeypatch.setattr(_writer, "update_outcome", nothing)
+    monkeypatch.setattr(_runner, "claim_attempt", nothing)
+    monkeypatch.setattr(_runner, "update_outcome", nothing)
 
 
 def without_refusals(monkeypatch):
@@ -186,11 +228,11 @@
 
 
 async def test_refused_attempt_is_followed_by_the_next_one(bench, proxy, timers):
-    record = _writer.RequestRecord(
+    record = _single.RequestRecord(
         key="call-1",
         attempt=1,
-        fingerprint=_writer.fingerprint_of("assist-core-1", [CALL]),
-        state=_writer.RecordState.RUN,
+        fingerprint=_single.fingerprint_of("assist-core-1", [CALL]),
+        state=_single.RecordState.RUN,
     )
     resolver = _resolver.Resolver(timers=timers, rng=proxy.rng)
     refused = await resolver.refuse(proxy.group, record, deadline=timers.now() + 2)
