--- a/src/heatherpier/bench/_dialog.py
+++ b/src/heatherpier/bench/_dialog.py
@@ -96,7 +96,7 @@
 
     async def _savepoint(self, sql: str) -> Result:
         if self._term is None:
-            await self._open_write()
+            self._term = await self._instance.begin_write()
         result = self._instance.engine.write(sql)
         word, name = sql.split()[0].upper(), sql.rstrip("; ").split()[-1]
         if word == "SAVEPOINT":
