Admit statements to instances in order and in bounds

Cause: nothing bounded what one proxy sends to an instance with 3 slots, and reads could fill the primary. Change: Admission gives places by class, by turns between users, and refuses at once what would come too late; concurrency follows the measured delay; reads on a primary fill at most its slots without the reserve, shared by the proxies. RetryBudget and Backoff bound what follows a failure. Reader asks for a place on each instance.

--- a/src/heatherpier/_proxy.py
+++ b/src/heatherpier/_proxy.py
@@ -18,6 +18,7 @@
     proposer_rank,
     start_watcher,
 )
+from heatherpier.limits import Admission
 from heatherpier.reads import Reader
 from heatherpier.sessions import TokenSigner
 from heatherpier.settings import Document, ProxySettings, ServiceModel
@@ -55,7 +56,13 @@
         self._ready = False
         self._timers = LoopTimers()
         rng = random.SystemRandom()
-        self._reader = Reader(timers=self._timers, data_centre=cfg.data_centre, rng=rng)
+        self._admission = Admission(timers=self._timers, proxies=cfg.proxies)
+        self._reader = Reader(
+            timers=self._timers,
+            data_centre=cfg.data_centre,
+            rng=rng,
+            admission=self._admission,
+        )
         keys = KeyMaker(proxy=cfg.name, rng=rng, timers=self._timers)
         self._writer = Writer(timers=self._timers, keys=keys, rng=rng)
         self._signer = TokenSigner(
@@ -91,6 +98,10 @@
                 ),
                 connections=max(service.connections // self._cfg.proxies, 1),
             )
+            for item in model.instances:
+                self._admission.configure(
+                    item.name, slots=service.slots, proxies=self._cfg.proxies
+                )
             groups[model.database] = Group(
                 spec, connector=self._connector, timers=self._timers
             )
@@ -158,40 +169,16 @@
             for service in self._services.values()
             for user in service.users
         }
-        return Listener(
-            open_session=self.open_session,
-            password_hashes=hashes,
+        rng = random.SystemRandom()
+        self._admission = Admission(timers=self._timers, proxies=cfg.proxies)
+        self._reader = Reader(
             timers=self._timers,
-            limits=limits_of(self._cfg.callers, self._cfg.stop),
-            ssl=ssl_context_of(self._cfg.callers),
-        )
-
-    async def _start_admin(self, listener: Listener) -> AdminServer | None:
-        cfg = self._cfg.admin
-        if cfg is None:
-            return None
-        admin = AdminServer(
-            ready=lambda: self._ready,
-            status=lambda: self._status(listener),
-            registry=REGISTRY,
-            handler=self._log_handler,
-            token=cfg.token.get_secret_value(),
+            data_centre=cfg.data_centre,
+            rng=rng,
+            admission=self._admission,
         )
-        await admin.start(host=cfg.host, port=cfg.port)
-        return admin
-
-    def _status(self, listener: Listener) -> ProxyStatus:
-        return ProxyStatus(
-            proxy=self._cfg.name,
-            data_centre=self._cfg.data_centre,
-            version=__version__,
-            ready=self._ready,
-            callers=listener.connected,
-            groups=[group_status(group) for group in self._all_groups()],
-        )
-
-    def _all_groups(self) -> list[Group]:
-        return [g for groups in self._groups.values() for g in groups.values()]
+        keys = KeyMaker(proxy=cfg.name, rng=rng, timers=self._timers)
+        self._writer = Writer(timers=self._timers, keys=keys, rng=rng)
 
     def _watch(self, group: Group) -> None:
         rng = random.SystemRandom()
--- a/src/heatherpier/limits/__init__.py
+++ b/src/heatherpier/limits/__init__.py
@@ -1,5 +1,8 @@
 """How much work may be sent to instances, and when to come back."""
 
+from heatherpier.limits._admission import Admission
 from heatherpier.limits._backoff import Backoff, RandomSource
+from heatherpier.limits._queue import Use
+from heatherpier.limits._retries import RetryBudget
 
-__all__ = ["Backoff", "RandomSource"]
+__all__ = ["Admission", "Backoff", "RandomSource", "RetryBudget", "Use"]
--- /dev/null
+++ b/src/heatherpier/limits/_gate.py
@@ -0,0 +1,202 @@
+"""Admission to one instance."""
+
+import asyncio
+
+from heatherpier.limits._concurrency import Concurrency
+from heatherpier.limits._meters import Rate
+from heatherpier.limits._queue import FairQueue, Use, Waiter
+from heatherpier.requests import OverloadedError, Priority
+from heatherpier.timers import Timers
+
+MS_PER_S = 1000
+MAX_WAITERS = 256
+LEAST_RETRY_MS = 50
+LONGEST_REST_S = 1.0
+SHED_PERIOD_S = 0.05
+# Higher classes are reckoned with at most this share of the instance.
+MOST_PRESSURE = 7 / 8
+
+
+class Gate:
+    """Lets statements through to one instance, in order and in bounds.
+
+    Args:
+        name: Name of the instance.
+        slots: Statements that the instance runs at once.
+        proxies: Count of proxies that share the instance.
+        reserve: Slots that are kept for writes while it is the primary.
+        timers: Timer service.
+    """
+
+    def __init__(
+        self, name: str, *, slots: int, proxies: int, reserve: int, timers: Timers
+    ) -> None:
+        self._name = name
+        self._timers = timers
+        self._concurrency = Concurrency(most=slots)
+        self._read_share = max(slots - reserve, 0) / proxies
+        self._queue = FairQueue()
+        self._running = 0
+        self._writes = 0
+        self._primary_reads = 0
+        self._arrivals = {priority: Rate() for priority in Priority}
+        self._shed_at = 0.0
+        self._rests: set[asyncio.Task[None]] = set()
+
+    def expected_wait_s(self, priority: Priority, user: str, use: Use) -> float:
+        """Returns how long a new statement would wait for its turn, in seconds."""
+        if self._may_run(use) and not len(self._queue):
+            return 0.0
+        return self._reckon(self._queue.ahead(priority, user) + 1, priority, use)
+
+    def _reckon(self, turns: int, priority: Priority, use: Use) -> float:
+        delay_s = self._concurrency.delay.value
+        now = self._timers.now()
+        higher = sum(
+            rate.per_s(now)
+            for other, rate in self._arrivals.items()
+            if other < priority
+        )
+        capacity_per_s = self._concurrency.limit / max(delay_s, 1e-6)
+        pressure = min(higher / capacity_per_s, MOST_PRESSURE)
+        wait_s = turns / capacity_per_s / (1 - pressure)
+        if use is not Use.PRIMARY_READ or self._read_share <= 0:
+            return wait_s
+        return max(wait_s, turns * delay_s / self._read_share)
+
+    async def enter(self, waiter: Waiter) -> None:
+        """Waits for the turn of a statement.
+
+        Raises:
+            OverloadedError: It would come too late, or others stand before it.
+        """
+        now = self._timers.now()
+        wait_s = self.expected_wait_s(waiter.priority, waiter.user, waiter.use)
+        self._arrivals[waiter.priority].record(now)
+        if now + wait_s + self._concurrency.delay.value > waiter.deadline:
+            raise self._refusal(wait_s)
+        if len(self._queue) >= MAX_WAITERS:
+            self._make_room(waiter, wait_s=wait_s)
+        self._queue.push(waiter)
+        self._dispatch()
+        await self._granted(waiter, wait_s=wait_s)
+
+    async def _granted(self, waiter: Waiter, *, wait_s: float) -> None:
+        try:
+            async with self._timers.timeout_at(waiter.deadline):
+                await waiter.granted
+        except TimeoutError as exc:
+            self._withdraw(waiter)
+            raise self._refusal(wait_s) from exc
+        except BaseException:
+            self._withdraw(waiter)
+            raise
+
+    def _withdraw(self, waiter: Waiter) -> None:
+        """Takes out a waiter that gave up, also when its turn came just then."""
+        self._queue.remove(waiter)
+        granted = waiter.granted
+        if not granted.done() or granted.cancelled() or granted.exception():
+            return
+        self._count(waiter.use, -1)
+        self._end_rest(waiter.use)
+        self._dispatch()
+
+    def leave(self, waiter: Waiter, *, delay_s: float) -> None:
+        """Takes in that a statement that was let through has ended."""
+        now = self._timers.now()
+        self._concurrency.record(delay_s, priority=waiter.priority, now=now)
+        self._count(waiter.use, -1)
+        if waiter.use is Use.PRIMARY_READ:
+            self._rest(delay_s)
+        if now - self._shed_at >= SHED_PERIOD_S:
+            self._shed_at = now
+            self._shed()
+        self._dispatch()
+
+    # Who may run
+
+    def _may_run(self, use: Use) -> bool:
+        room = self._running < self._concurrency.limit
+        match use:
+            case Use.READ:
+                return room
+            case Use.PRIMARY_READ:
+                return room and self._primary_reads < max(int(self._read_share), 1)
+            case Use.WRITE:
+                # Reads never keep the last write of a proxy waiting.
+                return room or self._writes == 0
+
+    def _dispatch(self) -> None:
+        while waiter := self._queue.pop(lambda item: self._may_run(item.use)):
+            if waiter.granted.done():
+                continue
+            self._count(waiter.use, 1)
+            if waiter.use is Use.PRIMARY_READ:
+                self._primary_reads += 1
+            waiter.granted.set_result(None)
+
+    def _count(self, use: Use, change: int) -> None:
+        self._running += change
+        if use is Use.WRITE:
+            self._writes += change
+
+    # The primary's reserve for writes
+
+    def _rest(self, delay_s: float) -> None:
+        """Keeps a read's place on the primary empty for a while.
+
+        With more proxies than slots for reads, each proxy has a part of a slot:
+        it rests after each read so that it fills just that part of the time.
+        """
+        share = self._read_share
+        if share >= 1:
+            self._end_rest(Use.PRIMARY_READ)
+            return
+        pause_s = LONGEST_REST_S
+        if share > 0:
+            pause_s = min(delay_s * (1 / share - 1), LONGEST_REST_S)
+        task = asyncio.create_task(self._rest_for(pause_s))
+        self._rests.add(task)
+        task.add_done_callback(self._rests.discard)
+
+    async def _rest_for(self, pause_s: float) -> None:
+        await self._timers.sleep(pause_s)
+        self._end_rest(Use.PRIMARY_READ)
+        self._dispatch()
+
+    def _end_rest(self, use: Use) -> None:
+        if use is Use.PRIMARY_READ:
+            self._primary_reads -= 1
+
+    # Refusals
+
+    def _make_room(self, waiter: Waiter, *, wait_s: float) -> None:
+        victim = self._queue.victim(waiter.priority, waiter.user)
+        if victim is None:
+            raise self._refusal(wait_s)
+        self._refuse(victim, wait_s)
+
+    def _shed(self) -> None:
+        """Refuses those whose turn would come too late now, lowest class first."""
+        now = self._timers.now()
+        for place, waiter in enumerate(list(self._queue), start=1):
+            wait_s = self._reckon(place, waiter.priority, waiter.use)
+            if now + wait_s > waiter.deadline:
+                self._refuse(waiter, wait_s)
+
+    def _refuse(self, waiter: Waiter, wait_s: float) -> None:
+        self._queue.remove(waiter)
+        if not waiter.granted.done():
+            waiter.granted.set_exception(self._refusal(wait_s))
+
+    def _refusal(self, wait_s: float) -> OverloadedError:
+        retry_after_ms = max(int(wait_s * MS_PER_S), LEAST_RETRY_MS)
+        return OverloadedError(
+            f"{self._name} has no room in time", retry_after_ms=retry_after_ms
+        )
+
+    def close(self) -> None:
+        """Ends all rests."""
+        for task in self._rests:
+            task.cancel()
--- a/src/heatherpier/reads/_attempt.py
+++ b/src/heatherpier/reads/_attempt.py
@@ -9,6 +9,7 @@
     fetch_status,
     wait_for_position,
 )
+from heatherpier.limits import Admission, Use
 from heatherpier.reads._freshness import AtLeast, Freshness, NotOlder, is_fresh
 from heatherpier.reads._knowledge import PAIR, GroupKnowledge, Proof
 from heatherpier.reads._outcomes import (
@@ -21,7 +22,12 @@
     Unproven,
     Unreachable,
 )
-from heatherpier.requests import Answer, Request, StatementRejectedError
+from heatherpier.requests import (
+    Answer,
+    OverloadedError,
+    Request,
+    StatementRejectedError,
+)
 from heatherpier.timers import Timers
 from heatherpier.upstreams import (
     PoolBusyError,
@@ -34,6 +40,8 @@
 BORROW_S = 0.25
 STATUS_S = 0.25
 FLOOR_WAIT_S = 0.1
+# A read that waited for its turn still gets this long, within its deadline.
+LEAST_TRY_S = 0.25
 CONFIRM_S = 0.3
 RETRY_AFTER_BUSY_MS = 100
 SERVER_SHUTDOWN = 1053
@@ -56,6 +64,7 @@
         knowledge: What earlier answers prove.
         req: The read.
         freshness: What it demands.
+        admission: Gives places on instances.
         timers: Timer service.
     """
 
@@ -66,12 +75,14 @@
         knowledge: GroupKnowledge,
         req: Request,
         freshness: Freshness,
+        admission: Admission,
         timers: Timers,
     ) -> None:
-        self._group = group
+        self.group = group
         self._knowledge = knowledge
-        self._req = req
-        self._freshness = freshness
+        self.req = req
+        self.freshness = freshness
+        self._admission = admission
         self._timers = timers
 
     async def run(self, name: str, *, until: float, patience: float) -> Outcome:
@@ -83,44 +94,70 @@
             patience: Factor on the time limits of checks, from 1.
         """
         try:
-            async with self._group.pools[name].borrow(
-                timeout_s=min(BORROW_S * patience, until - self._timers.now())
-            ) as conn:
-                before = await self._check(conn, name, until=until, patience=patience)
-                if not is_fresh(before.status, self._freshness):
-                    return Behind(before.status)
-                result = await self._read(conn, until=until)
-                after = await self._ask(conn, until=until)
+            before = await self._check(name, until=until, patience=patience)
+            if not is_fresh(before.status, self.freshness):
+                return Behind(before.status)
+            run = await self._run(name, before, until=until)
         except PoolBusyError:
             return Full(RETRY_AFTER_BUSY_MS)
+        except OverloadedError as exc:
+            return Full(exc.retry_after_ms or RETRY_AFTER_BUSY_MS)
         except (UpstreamError, GroupError) as exc:
-            self._group.report_failure(name)
+            self.group.report_failure(name)
             return Unreachable(str(exc))
-        return await self._judge(_Run(result=result, before=before, after=after))
+        return await self._judge(run)
 
-    async def _check(
-        self, conn: PooledConnection, name: str, *, until: float, patience: float
-    ) -> Proof:
+    async def _check(self, name: str, *, until: float, patience: float) -> Proof:
         now = self._timers.now()
-        proof = self._knowledge.proof(name, self._freshness, now=now)
+        proof = self._knowledge.proof(name, self.freshness, now=now)
         if proof is not None:
             return proof
-        left = until - now
-        match self._freshness:
+        limit_s = min(until - now, BORROW_S * patience)
+        async with self.group.pools[name].borrow(timeout_s=limit_s) as conn:
+            status = await self._ask_before(conn, until=until, patience=patience)
+        return self._knowledge.take(status, asked_at=now)
+
+    async def _ask_before(
+        self, conn: PooledConnection, *, until: float, patience: float
+    ) -> InstanceStatus:
+        left = until - self._timers.now()
+        match self.freshness:
             case AtLeast(floor=floor):
                 wait_s = min(left, FLOOR_WAIT_S * patience)
-                status = await wait_for_position(conn, floor, timeout_s=wait_s)
+                return await wait_for_position(conn, floor, timeout_s=wait_s)
             case _:
-                wait_s = min(left, STATUS_S * patience)
-                status = await fetch_status(conn, timeout_s=wait_s)
-        return self._knowledge.take(status, asked_at=now)
+                return await fetch_status(
+                    conn, timeout_s=min(left, STATUS_S * patience)
+                )
+
+    async def _run(self, name: str, before: Proof, *, until: float) -> _Run:
+        """Runs the read in its turn, and asks for the status on the same connection.
+
+        What was proved before holds on: it concerns the instance, whose log and
+        terms outlast a connection.
+        """
+        use = Use.PRIMARY_READ if before.status.leads() else Use.READ
+        async with self._admission.admit(
+            name,
+            priority=self.req.priority,
+            deadline=self.req.deadline,
+            user=self.req.user,
+            use=use,
+        ):
+            until = max(until, self._timers.now() + LEAST_TRY_S)
+            until = min(until, self.req.deadline)
+            limit_s = min(BORROW_S, until - self._timers.now())
+            async with self.group.pools[name].borrow(timeout_s=limit_s) as conn:
+                result = await self._read(conn, until=until)
+                after = await self._ask(conn, until=until)
+        return _Run(result=result, before=before, after=after)
 
     async def _read(
         self, conn: PooledConnection, *, until: float
     ) -> Result | StatementError:
         try:
             return await conn.execute(
-                self._req.sql, timeout_s=until - self._timers.now()
+                self.req.sql, timeout_s=until - self._timers.now()
             )
         except StatementError as exc:
             if exc.code == SERVER_SHUTDOWN:
@@ -156,9 +193,9 @@
 
     async def _judge_primary(self, run: _Run) -> Behind | None:
         """Proves that what a primary showed is on a majority and was current."""
-        match self._freshness:
+        match self.freshness:
             case AtLeast():
-                if not is_fresh(run.after, self._freshness):
+                if not is_fresh(run.after, self.freshness):
                     return Behind(run.after)
                 await self._await_kept(run.after)
             case _:
@@ -167,25 +204,25 @@
                 if not before.leads() or not one_term:
                     return Behind(run.after)
                 await self._confirm(run.after)
-                await self._group.acknowledge(
+                await self.group.acknowledge(
                     run.after.position,
                     primary=run.after.instance,
-                    deadline=self._req.deadline,
+                    deadline=self.req.deadline,
                 )
         return None
 
     async def _judge_replica(self, run: _Run) -> Behind | Unproven | None:
         """Proves that what a replica showed stays and was fresh enough."""
-        match self._freshness:
+        match self.freshness:
             case NotOlder(max_age_ms=max_age_ms):
                 fresh = run.before.age_ms(self._timers.now()) <= max_age_ms
             case _:
-                fresh = is_fresh(run.after, self._freshness)
+                fresh = is_fresh(run.after, self.freshness)
         if not fresh:
             return Behind(run.after)
-        if self._group.spec.majority > PAIR:
+        if self.group.spec.majority > PAIR:
             await self._await_kept(run.after)
-            if isinstance(self._freshness, NotOlder):
+            if isinstance(self.freshness, NotOlder):
                 await self._confirm(run.after)
         elif self._knowledge.can_vanish(run.after):
             return Unproven(
@@ -196,20 +233,20 @@
 
     async def _await_kept(self, status: InstanceStatus) -> None:
         """Waits for a majority, but in vain only while one can be reached."""
-        soon = min(self._req.deadline, self._timers.now() + CONFIRM_S)
+        soon = min(self.req.deadline, self._timers.now() + CONFIRM_S)
         try:
-            await self._group.acknowledge(
+            await self.group.acknowledge(
                 status.position, primary=status.instance, deadline=soon
             )
         except GroupError:
             await self._confirm(status)
-            await self._group.acknowledge(
-                status.position, primary=status.instance, deadline=self._req.deadline
+            await self.group.acknowledge(
+                status.position, primary=status.instance, deadline=self.req.deadline
             )
 
     async def _confirm(self, status: InstanceStatus) -> None:
-        soon = min(self._req.deadline, self._timers.now() + CONFIRM_S)
-        await self._group.confirm_primary(status, deadline=soon)
+        soon = min(self.req.deadline, self._timers.now() + CONFIRM_S)
+        await self.group.confirm_primary(status, deadline=soon)
 
 
 def _rejection(exc: StatementError) -> StatementRejectedError:
--- a/src/heatherpier/reads/_outcomes.py
+++ b/src/heatherpier/reads/_outcomes.py
@@ -70,12 +70,15 @@
     """Tells whether another round can end better than this one.
 
     It can while some instance still hears from its primary, or while a majority
-    answers, so that there is a primary or one can be promoted.
+    answers, so that there is a primary or one can be promoted. A full instance
+    has said already that its turn would come too late.
     """
     for failure in failures:
         match failure:
             case Behind(status=status) if status.contact_ms < CONTACT_MS:
                 return True
+    if any(isinstance(item, Full) for item in failures):
+        return False
     answered = [item for item in failures if not isinstance(item, Unreachable)]
     return len(answered) >= spec.majority
 
--- a/src/heatherpier/reads/_reader.py
+++ b/src/heatherpier/reads/_reader.py
@@ -3,15 +3,16 @@
 from weakref import WeakKeyDictionary
 
 from heatherpier.groups import Group
-from heatherpier.limits import Backoff, RandomSource
+from heatherpier.limits import Admission, Backoff, RandomSource, RetryBudget
 from heatherpier.reads._attempt import Attempt
 from heatherpier.reads._candidates import order_instances
-from heatherpier.reads._freshness import Freshness, freshness_of
+from heatherpier.reads._freshness import freshness_of
 from heatherpier.reads._knowledge import GroupKnowledge
 from heatherpier.reads._outcomes import (
     Failure,
     Rejected,
     Served,
+    Unreachable,
     final_error,
     may_improve,
 )
@@ -29,12 +30,22 @@
         timers: Timer service.
         data_centre: Data centre of this proxy; its replicas are asked first.
         rng: Spreads the delays between rounds.
+        admission: Gives places on instances.
     """
 
-    def __init__(self, *, timers: Timers, data_centre: str, rng: RandomSource) -> None:
+    def __init__(
+        self,
+        *,
+        timers: Timers,
+        data_centre: str,
+        rng: RandomSource,
+        admission: Admission,
+    ) -> None:
         self._timers = timers
         self._data_centre = data_centre
+        self._admission = admission
         self._backoff = Backoff(rng=rng)
+        self._budgets: WeakKeyDictionary[Group, RetryBudget] = WeakKeyDictionary()
         self._knowledge: WeakKeyDictionary[Group, GroupKnowledge] = WeakKeyDictionary()
 
     async def execute(self, group: Group, req: Request) -> Answer:
@@ -49,7 +60,6 @@
             OverloadedError: Every instance is busy.
             NotRunError: No instance answered.
         """
-        freshness = freshness_of(req)
         knowledge = self._knowledge_of(group)
         if req.floor is not None:
             knowledge.note_floor(req.floor)
@@ -57,39 +67,43 @@
             group=group,
             knowledge=knowledge,
             req=req,
-            freshness=freshness,
+            freshness=freshness_of(req),
+            admission=self._admission,
             timers=self._timers,
         )
+        budget = self._budgets.setdefault(group, RetryBudget())
+        budget.record_first_try()
         rounds = 0
         while True:
             rounds += 1
-            failures = await self._round(group, req, freshness, attempt, rounds=rounds)
-            if isinstance(failures, Answer):
-                return failures
+            outcome = await self._round(attempt, budget, rounds=rounds)
+            if isinstance(outcome, Answer):
+                return outcome
             delay_s = self._backoff.delay_s(rounds)
             late = self._timers.now() + delay_s >= req.deadline
-            if late or not may_improve(failures, group.spec):
-                raise final_error(failures, group=req.group)
+            if late or not may_improve(outcome, group.spec):
+                raise final_error(outcome, group=req.group)
             await self._timers.sleep(delay_s)
 
     async def _round(
-        self,
-        group: Group,
-        req: Request,
-        freshness: Freshness,
-        attempt: Attempt,
-        *,
-        rounds: int,
+        self, attempt: Attempt, budget: RetryBudget, *, rounds: int
     ) -> Answer | list[Failure]:
+        """Asks each instance once, and returns an answer or what stood against it."""
+        deadline = attempt.req.deadline
         failures: list[Failure] = []
-        names = order_instances(group, freshness, data_centre=self._data_centre)
+        names = order_instances(
+            attempt.group,
+            attempt.req,
+            attempt.freshness,
+            admission=self._admission,
+            data_centre=self._data_centre,
+        )
         for place, name in enumerate(names, start=1):
             now = self._timers.now()
-            left = req.deadline - now
-            if left <= 0:
+            if now >= deadline:
                 break
             last = place == len(names)
-            until = req.deadline if last else now + left * TRY_SHARE
+            until = deadline if last else now + (deadline - now) * TRY_SHARE
             outcome = await attempt.run(name, until=until, patience=2.0 ** (rounds - 1))
             match outcome:
                 case Served(answer=answer):
@@ -98,6 +112,8 @@
                     raise error
                 case failure:
                     failures.append(failure)
+            if isinstance(outcome, Unreachable) and not budget.take():
+                break
         return failures
 
     def _knowledge_of(self, group: Group) -> GroupKnowledge:
--- a/src/heatherpier/reads/tests/conftest.py
+++ b/src/heatherpier/reads/tests/conftest.py
@@ -8,6 +8,7 @@
 from heatherpier._session import Session
 from heatherpier.bench._cluster import DATA_CENTRES, GROUP, MemoryGroup
 from heatherpier.groups import Group, LogPosition
+from heatherpier.limits import Admission
 from heatherpier.reads import Reader
 from heatherpier.requests import Request
 from heatherpier.sessions import TokenSigner
@@ -56,6 +57,7 @@
             timers=self.timers,
             data_centre=DATA_CENTRES[place],
             rng=random.Random(7),
+            admission=Admission(timers=self.timers),
         )
         session = Session(
             groups={DATABASE: group},
