Admit writes too, and try a silent instance again

Change: only answers count as delays, and where there is room a statement is always tried. Writer takes a place as a write; the proxy passes one Admission to reads and writes.

--- a/src/heatherpier/_proxy.py
+++ b/src/heatherpier/_proxy.py
@@ -64,7 +64,9 @@
             admission=self._admission,
         )
         keys = KeyMaker(proxy=cfg.name, rng=rng, timers=self._timers)
-        self._writer = Writer(timers=self._timers, keys=keys, rng=rng)
+        self._writer = Writer(
+            timers=self._timers, keys=keys, rng=rng, admission=self._admission
+        )
         self._signer = TokenSigner(
             deployment=cfg.deployment,
             keys=tuple(bytes.fromhex(key) for key in cfg.token_keys),
@@ -144,6 +146,7 @@
         cut = await self._stop(listener)
         for group in self._all_groups():
             group.close()
+        self._admission.close()
         if admin is not None:
             await admin.close()
         log.info("stopped", cut=cut)
@@ -169,16 +172,40 @@
             for service in self._services.values()
             for user in service.users
         }
-        rng = random.SystemRandom()
-        self._admission = Admission(timers=self._timers, proxies=cfg.proxies)
-        self._reader = Reader(
+        return Listener(
+            open_session=self.open_session,
+            password_hashes=hashes,
             timers=self._timers,
-            data_centre=cfg.data_centre,
-            rng=rng,
-            admission=self._admission,
+            limits=limits_of(self._cfg.callers, self._cfg.stop),
+            ssl=ssl_context_of(self._cfg.callers),
         )
-        keys = KeyMaker(proxy=cfg.name, rng=rng, timers=self._timers)
-        self._writer = Writer(timers=self._timers, keys=keys, rng=rng)
+
+    async def _start_admin(self, listener: Listener) -> AdminServer | None:
+        cfg = self._cfg.admin
+        if cfg is None:
+            return None
+        admin = AdminServer(
+            ready=lambda: self._ready,
+            status=lambda: self._status(listener),
+            registry=REGISTRY,
+            handler=self._log_handler,
+            token=cfg.token.get_secret_value(),
+        )
+        await admin.start(host=cfg.host, port=cfg.port)
+        return admin
+
+    def _status(self, listener: Listener) -> ProxyStatus:
+        return ProxyStatus(
+            proxy=self._cfg.name,
+            data_centre=self._cfg.data_centre,
+            version=__version__,
+            ready=self._ready,
+            callers=listener.connected,
+            groups=[group_status(group) for group in self._all_groups()],
+        )
+
+    def _all_groups(self) -> list[Group]:
+        return [g for groups in self._groups.values() for g in groups.values()]
 
     def _watch(self, group: Group) -> None:
         rng = random.SystemRandom()
--- a/src/heatherpier/limits/_admission.py
+++ b/src/heatherpier/limits/_admission.py
@@ -75,10 +75,13 @@
         )
         await gate.enter(waiter)
         began = self._timers.now()
+        answered = False
         try:
             yield
+            answered = True
         finally:
-            gate.leave(waiter, delay_s=self._timers.now() - began)
+            delay_s = self._timers.now() - began
+            gate.leave(waiter, delay_s=delay_s, answered=answered)
 
     def expected_wait_s(
         self, instance: str, *, priority: Priority, user: str = "", use: Use = Use.READ
--- a/src/heatherpier/limits/_gate.py
+++ b/src/heatherpier/limits/_gate.py
@@ -73,7 +73,9 @@
         now = self._timers.now()
         wait_s = self.expected_wait_s(waiter.priority, waiter.user, waiter.use)
         self._arrivals[waiter.priority].record(now)
-        if now + wait_s + self._concurrency.delay.value > waiter.deadline:
+        # Where there is room, only a try can tell whether the instance is fast again.
+        late = now + wait_s + self._concurrency.delay.value > waiter.deadline
+        if wait_s and late:
             raise self._refusal(wait_s)
         if len(self._queue) >= MAX_WAITERS:
             self._make_room(waiter, wait_s=wait_s)
@@ -102,10 +104,18 @@
         self._end_rest(waiter.use)
         self._dispatch()
 
-    def leave(self, waiter: Waiter, *, delay_s: float) -> None:
-        """Takes in that a statement that was let through has ended."""
+    def leave(self, waiter: Waiter, *, delay_s: float, answered: bool) -> None:
+        """Takes in that a statement that was let through has ended.
+
+        Args:
+            waiter: The statement.
+            delay_s: How long it took, in seconds.
+            answered: Whether an answer came. A time limit tells nothing of the
+                delay of answers.
+        """
         now = self._timers.now()
-        self._concurrency.record(delay_s, priority=waiter.priority, now=now)
+        if answered:
+            self._concurrency.record(delay_s, priority=waiter.priority, now=now)
         self._count(waiter.use, -1)
         if waiter.use is Use.PRIMARY_READ:
             self._rest(delay_s)
--- a/src/heatherpier/limits/tests/test_admission.py
+++ b/src/heatherpier/limits/tests/test_admission.py
@@ -182,3 +182,18 @@
     for holder in holders:
         holder.cancel()
     await asyncio.gather(*holders, return_exceptions=True)
+
+
+async def lose_statement(load):
+    async with load.admission.admit(
+        INSTANCE, priority=Priority.WRITE, deadline=load.timers.now() + 10
+    ):
+        await load.timers.sleep(5)
+        raise ConnectionError
+
+
+async def test_instance_that_was_silent_is_tried_again(load):
+    for _ in range(3):
+        with pytest.raises(ConnectionError):
+            await lose_statement(load)
+    assert isinstance(await load.statement("next", within_s=1), float)
--- a/src/heatherpier/reads/tests/conftest.py
+++ b/src/heatherpier/reads/tests/conftest.py
@@ -53,11 +53,12 @@
 
     def desk(self, peer="proxy-1", *, place=0):
         group = self.memory.view(peer)
+        admission = Admission(timers=self.timers)
         reader = Reader(
             timers=self.timers,
             data_centre=DATA_CENTRES[place],
             rng=random.Random(7),
-            admission=Admission(timers=self.timers),
+            admission=admission,
         )
         session = Session(
             groups={DATABASE: group},
@@ -66,6 +67,7 @@
                 timers=self.timers,
                 keys=KeyMaker(proxy=peer, rng=random.Random(7), timers=self.timers),
                 rng=random.Random(7),
+                admission=admission,
             ),
             signer=TokenSigner(deployment="sen-vang", keys=(b"k" * 16,)),
             timers=self.timers,
--- a/src/heatherpier/writes/_writer.py
+++ b/src/heatherpier/writes/_writer.py
@@ -1,5 +1,6 @@
 """Runs single writes at most once and waits for a majority."""
 
+from contextlib import AbstractAsyncContextManager
 from dataclasses import replace
 from random import Random
 
@@ -10,6 +11,7 @@
     NotAcknowledgedError,
     fetch_status,
 )
+from heatherpier.limits import Admission, Use
 from heatherpier.requests import (
     AlreadyRunError,
     Answer,
@@ -80,10 +82,19 @@
         timers: Timer service.
         keys: Makes and checks idempotency keys.
         rng: Random source for retry delays.
+        admission: Gives places on instances; by default one of its own.
     """
 
-    def __init__(self, *, timers: Timers, keys: KeyMaker, rng: Random) -> None:
+    def __init__(
+        self,
+        *,
+        timers: Timers,
+        keys: KeyMaker,
+        rng: Random,
+        admission: Admission | None = None,
+    ) -> None:
         self._timers = timers
+        self._admission = admission or Admission(timers=timers)
         self._keys = keys
         self._rng = rng
         self._resolver = Resolver(timers=timers, rng=rng)
@@ -96,6 +107,7 @@
             ReadOnlyError: The group has no primary; the write was not run.
             StatementRejectedError: The instance rejected the statement.
             RefusedError: The statement or its key can't be served.
+            OverloadedError: Its turn would come too late; it was not run.
             NotRunError: The write has no effect and never will.
             OutcomeUnknownError: The write may have taken effect.
         """
@@ -187,10 +199,11 @@
     ) -> Answer:
         primary = await find_primary(group, timers=self._timers, deadline=req.deadline)
         name = primary.instance
-        left = req.deadline - self._timers.now()
         try:
-            async with group.pools[name].borrow(timeout_s=left) as conn:
-                committed = await self._run(conn, req, record, primary)
+            async with self._place(name, req):
+                left = req.deadline - self._timers.now()
+                async with group.pools[name].borrow(timeout_s=left) as conn:
+                    committed = await self._run(conn, req, record, primary)
         except ConnectError as exc:
             if not isinstance(exc, PoolBusyError):
                 group.report_failure(name)
@@ -215,6 +228,15 @@
             replica=False,
         )
 
+    def _place(self, name: str, req: Request) -> AbstractAsyncContextManager[None]:
+        return self._admission.admit(
+            name,
+            priority=req.priority,
+            deadline=req.deadline,
+            user=req.user,
+            use=Use.WRITE,
+        )
+
     async def _run(
         self,
         conn: PooledConnection,
