--- a/src/heatherpier/bench/_dialog.py
+++ b/src/heatherpier/bench/_dialog.py
@@ -1,6 +1,8 @@
 """One connection to a stand-in instance: statements in, results out."""
 
 import re
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 
 from heatherpier.bench._instance import Instance
 from heatherpier.groups import InstanceStatus, LogPosition, Role
@@ -70,7 +72,7 @@
             case "SET":
                 return self._set(sql)
         if word in READ_WORDS:
-            async with self._instance.slots:
+            async with self._slot():
                 held = self._term is not None
                 self._instance.count_read(sql)
                 return self._instance.engine.read(sql, in_transaction=held)
@@ -78,9 +80,16 @@
             # A statement that waits for a lock holds no slot, or the waiting
             # ones would keep the lock's holder from its next statement.
             await self._open_write()
-        async with self._instance.slots:
+        async with self._slot():
             return self._write(sql)
 
+    @asynccontextmanager
+    async def _slot(self) -> AsyncIterator[None]:
+        async with self._instance.slots:
+            if self._instance.faults.work_ms:
+                await self._instance.timers.sleep(self._instance.faults.work_ms / 1000)
+            yield
+
     def rollback(self) -> None:
         """Undoes the open transaction, if any."""
         if self._term is not None:
--- a/src/heatherpier/bench/_instance.py
+++ b/src/heatherpier/bench/_instance.py
@@ -38,6 +38,7 @@
         replication_stopped: No entries are fetched from the primary.
         lag_ms: Delay between a commit and its arrival at this instance.
         slow_ms: Extra delay of each statement.
+        work_ms: Time that a statement on data holds its slot.
         drop_answers: Count of coming COMMIT answers that are lost after the effect.
         late_commit_ms: The next COMMIT arrives this much later, after its
             connection was lost; 0 for none.
@@ -49,6 +50,7 @@
     replication_stopped: bool = False
     lag_ms: int = 0
     slow_ms: int = 0
+    work_ms: int = 0
     drop_answers: int = 0
     late_commit_ms: int = 0
     refuse_connections: bool = False
--- a/src/heatherpier/limits/_gate.py
+++ b/src/heatherpier/limits/_gate.py
@@ -13,8 +13,10 @@
 LEAST_RETRY_MS = 50
 LONGEST_REST_S = 1.0
 SHED_PERIOD_S = 0.05
+# A wait is reckoned to last up to this multiple of its mean.
+WAIT_MARGIN = 1.5
 # Higher classes are reckoned with at most this share of the instance.
-MOST_PRESSURE = 7 / 8
+MOST_PRESSURE = 15 / 16
 
 
 class Gate:
@@ -74,7 +76,8 @@
         wait_s = self.expected_wait_s(waiter.priority, waiter.user, waiter.use)
         self._arrivals[waiter.priority].record(now)
         # Where there is room, only a try can tell whether the instance is fast again.
-        late = now + wait_s + self._concurrency.delay.value > waiter.deadline
+        least_s = wait_s * WAIT_MARGIN + self._concurrency.delay.value
+        late = now + least_s > waiter.deadline
         if wait_s and late:
             raise self._refusal(wait_s)
         if len(self._queue) >= MAX_WAITERS:
--- a/src/heatherpier/limits/_queue.py
+++ b/src/heatherpier/limits/_queue.py
@@ -8,8 +8,9 @@
 
 from heatherpier.requests import Priority
 
-# Each such grant goes to the lowest waiting class, so that none starves.
-LOWEST_CLASS_EVERY = 8
+# Each such grant goes to a lower class first, to these in turn, so that none starves.
+LOWER_CLASS_EVERY = 8
+LOWER_CLASSES = (Priority.AGED_READ, Priority.BATCH)
 
 
 class Use(Enum):
@@ -75,10 +76,7 @@
 
     def pop(self, may_run: Callable[[Waiter], bool]) -> Waiter | None:
         """Takes out the next waiter that may run now."""
-        order = list(Priority)
-        if self._grants % LOWEST_CLASS_EVERY == LOWEST_CLASS_EVERY - 1:
-            order.reverse()
-        for priority in order:
+        for priority in self._order():
             for user, waiters in self._classes[priority].items():
                 if not may_run(waiters[0]):
                     continue
@@ -89,6 +87,13 @@
                 return waiter
         return None
 
+    def _order(self) -> list[Priority]:
+        cycle, place = divmod(self._grants, LOWER_CLASS_EVERY)
+        if place != LOWER_CLASS_EVERY - 1:
+            return list(Priority)
+        first = LOWER_CLASSES[cycle % len(LOWER_CLASSES)]
+        return [first, *(priority for priority in Priority if priority is not first)]
+
     def ahead(self, priority: Priority, user: str) -> int:
         """Returns how many waiters would be served before a new one."""
         before = sum(
--- a/src/heatherpier/reads/_attempt.py
+++ b/src/heatherpier/reads/_attempt.py
@@ -34,6 +34,7 @@
     PooledConnection,
     Result,
     StatementError,
+    TooManyConnectionsError,
     UpstreamError,
 )
 
@@ -98,7 +99,7 @@
             if not is_fresh(before.status, self.freshness):
                 return Behind(before.status)
             run = await self._run(name, before, until=until)
-        except PoolBusyError:
+        except (PoolBusyError, TooManyConnectionsError):
             return Full(RETRY_AFTER_BUSY_MS)
         except OverloadedError as exc:
             return Full(exc.retry_after_ms or RETRY_AFTER_BUSY_MS)
