--- a/src/heatherpier/_proxy.py
+++ b/src/heatherpier/_proxy.py
@@ -18,6 +18,7 @@
     proposer_rank,
     start_watcher,
 )
+from heatherpier.limits import Admission
 from heatherpier.reads import Reader
 from heatherpier.sessions import TokenSigner
 from heatherpier.settings import Document, ProxySettings, ServiceModel
@@ -55,9 +56,17 @@
         self._ready = False
         self._timers = LoopTimers()
         rng = random.SystemRandom()
-        self._reader = Reader(timers=self._timers, data_centre=cfg.data_centre, rng=rng)
+        self._admission = Admission(timers=self._timers, proxies=cfg.proxies)
+        self._reader = Reader(
+            timers=self._timers,
+            data_centre=cfg.data_centre,
+            rng=rng,
+            admission=self._admission,
+        )
         keys = KeyMaker(proxy=cfg.name, rng=rng, timers=self._timers)
-        self._writer = Writer(timers=self._timers, keys=keys, rng=rng)
+        self._writer = Writer(
+            timers=self._timers, keys=keys, rng=rng, admission=self._admission
+        )
         self._signer = TokenSigner(
             deployment=cfg.deployment,
             keys=tuple(bytes.fromhex(key) for key in cfg.token_keys),
@@ -91,6 +100,10 @@
                 ),
                 connections=max(service.connections // self._cfg.proxies, 1),
             )
+            for item in model.instances:
+                self._admission.configure(
+                    item.name, slots=service.slots, proxies=self._cfg.proxies
+                )
             groups[model.database] = Group(
                 spec, connector=self._connector, timers=self._timers
             )
@@ -134,6 +147,7 @@
         cut = await self._stop(listener)
         for group in self._all_groups():
             group.close()
+        self._admission.close()
         if admin is not None:
             await admin.close()
         log.info("stopped", cut=cut)
--- a/src/heatherpier/bench/_dialog.py
+++ b/src/heatherpier/bench/_dialog.py
@@ -1,6 +1,8 @@
 """One connection to a stand-in instance: statements in, results out."""
 
 import re
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 
 from heatherpier.bench._instance import Instance
 from heatherpier.groups import InstanceStatus, LogPosition, Role
@@ -83,7 +85,7 @@
             case "SET":
                 return self._set(sql)
         if word in READ_WORDS:
-            async with self._instance.slots:
+            async with self._slot():
                 held = self._term is not None
                 self._instance.count_read(sql)
                 return self._instance.engine.read(sql, in_transaction=held)
@@ -91,7 +93,7 @@
             # A statement that waits for a lock holds no slot, or the waiting
             # ones would keep the lock's holder from its next statement.
             self._term = await self._instance.begin_write()
-        async with self._instance.slots:
+        async with self._slot():
             return self._write(sql)
 
     async def _savepoint(self, sql: str) -> Result:
@@ -105,6 +107,13 @@
             del self._statements[self._marks[name] :]
         return result
 
+    @asynccontextmanager
+    async def _slot(self) -> AsyncIterator[None]:
+        async with self._instance.slots:
+            if self._instance.faults.work_ms:
+                await self._instance.timers.sleep(self._instance.faults.work_ms / 1000)
+            yield
+
     def rollback(self) -> None:
         """Undoes the open transaction, if any."""
         if self._term is not None:
--- a/src/heatherpier/reads/tests/conftest.py
+++ b/src/heatherpier/reads/tests/conftest.py
@@ -8,6 +8,7 @@
 from heatherpier._session import Session
 from heatherpier.bench._cluster import DATA_CENTRES, GROUP, MemoryGroup
 from heatherpier.groups import Group, LogPosition
+from heatherpier.limits import Admission
 from heatherpier.reads import Reader
 from heatherpier.requests import Request
 from heatherpier.sessions import TokenSigner
@@ -52,10 +53,12 @@
 
     def desk(self, peer="proxy-1", *, place=0):
         group = self.memory.view(peer)
+        admission = Admission(timers=self.timers)
         reader = Reader(
             timers=self.timers,
             data_centre=DATA_CENTRES[place],
             rng=random.Random(7),
+            admission=admission,
         )
         session = Session(
             groups={DATABASE: group},
@@ -64,6 +67,7 @@
                 timers=self.timers,
                 keys=KeyMaker(proxy=peer, rng=random.Random(7), timers=self.timers),
                 rng=random.Random(7),
+                admission=admission,
             ),
             signer=TokenSigner(deployment="sen-vang", keys=(b"k" * 16,)),
             timers=self.timers,
--- a/src/heatherpier/writes/_runner.py
+++ b/src/heatherpier/writes/_runner.py
@@ -1,5 +1,7 @@
 """Runs one attempt of a single write and waits for a majority."""
 
+from contextlib import AbstractAsyncContextManager
+
 from heatherpier.groups import (
     Group,
     GroupError,
@@ -7,6 +9,7 @@
     NotAcknowledgedError,
     fetch_status,
 )
+from heatherpier.limits import Admission, Use
 from heatherpier.requests import Answer, Request, StatementRejectedError
 from heatherpier.timers import Timers
 from heatherpier.upstreams import (
@@ -50,17 +53,22 @@
     Args:
         timers: Timer service.
         resolver: Waits for majorities.
+        admission: Gives places on instances.
     """
 
-    def __init__(self, *, timers: Timers, resolver: Resolver) -> None:
+    def __init__(
+        self, *, timers: Timers, resolver: Resolver, admission: Admission
+    ) -> None:
         self._timers = timers
         self._resolver = resolver
+        self._admission = admission
 
     async def run(self, group: Group, req: Request, record: RequestRecord) -> Answer:
         """Runs the attempt on the primary and waits for a majority.
 
         Raises:
-            FinalError: The instance rejected the statement, or there is no primary.
+            FinalError: The instance rejected the statement, its turn would come too
+                late, or there is no primary.
             AttemptLostError: The attempt never takes effect.
             CommitUnknownError: Whether it takes effect is not known.
             RecordExistsError: The attempt has a record already.
@@ -68,10 +76,11 @@
         """
         primary = await find_primary(group, timers=self._timers, deadline=req.deadline)
         name = primary.instance
-        left = req.deadline - self._timers.now()
         try:
-            async with group.pools[name].borrow(timeout_s=left) as conn:
-                outcome = await self._run(conn, req, record, primary)
+            async with self._place(name, req):
+                left = req.deadline - self._timers.now()
+                async with group.pools[name].borrow(timeout_s=left) as conn:
+                    outcome = await self._run(conn, req, record, primary)
             if isinstance(outcome, WriteError):
                 raise outcome
         except ConnectError as exc:
@@ -98,6 +107,15 @@
             replica=False,
         )
 
+    def _place(self, name: str, req: Request) -> AbstractAsyncContextManager[None]:
+        return self._admission.admit(
+            name,
+            priority=req.priority,
+            deadline=req.deadline,
+            user=req.user,
+            use=Use.WRITE,
+        )
+
     async def _run(
         self,
         conn: PooledConnection,
--- a/src/heatherpier/writes/_single.py
+++ b/src/heatherpier/writes/_single.py
@@ -2,10 +2,8 @@
 
 from random import Random
 
-from heatherpier.groups import (
-    Group,
-)
-from heatherpier.limits import Backoff
+from heatherpier.groups import Group
+from heatherpier.limits import Admission, Backoff
 from heatherpier.requests import (
     AlreadyRunError,
     Answer,
@@ -53,16 +51,25 @@
         keys: Makes and checks idempotency keys.
         resolver: Looks records up and refuses attempts.
         rng: Random source for retry delays.
+        admission: Gives places on instances.
     """
 
     def __init__(
-        self, *, timers: Timers, keys: KeyMaker, resolver: Resolver, rng: Random
+        self,
+        *,
+        timers: Timers,
+        keys: KeyMaker,
+        resolver: Resolver,
+        rng: Random,
+        admission: Admission,
     ) -> None:
         self._timers = timers
         self._keys = keys
         self._backoff = Backoff(rng=rng)
         self._resolver = resolver
-        self._runner = AttemptRunner(timers=timers, resolver=resolver)
+        self._runner = AttemptRunner(
+            timers=timers, resolver=resolver, admission=admission
+        )
         self._standalone = StandaloneWriter(timers=timers)
 
     async def execute(self, group: Group, req: Request) -> Answer:
@@ -72,6 +79,7 @@
             ReadOnlyError: The group has no primary; the write was not run.
             StatementRejectedError: The instance rejected the statement.
             RefusedError: The statement or its key can't be served.
+            OverloadedError: Its turn would come too late; it was not run.
             NotRunError: The write has no effect and never will.
             OutcomeUnknownError: The write may have taken effect.
         """
--- a/src/heatherpier/writes/_writer.py
+++ b/src/heatherpier/writes/_writer.py
@@ -4,6 +4,7 @@
 from random import Random
 
 from heatherpier.groups import Group
+from heatherpier.limits import Admission
 from heatherpier.requests import Answer, Request
 from heatherpier.timers import Timers
 from heatherpier.writes._begin import IDLE_LIMIT_S, TransactionOpener
@@ -24,6 +25,7 @@
         rng: Random source for retry delays.
         idle_limit_s: Longest time in seconds between two statements of a
             transaction.
+        admission: Gives places on instances; by default one of its own.
     """
 
     def __init__(
@@ -33,10 +35,15 @@
         keys: KeyMaker,
         rng: Random,
         idle_limit_s: float = IDLE_LIMIT_S,
+        admission: Admission | None = None,
     ) -> None:
         resolver = Resolver(timers=timers, rng=rng)
         self._single = SingleWriter(
-            timers=timers, keys=keys, resolver=resolver, rng=rng
+            timers=timers,
+            keys=keys,
+            resolver=resolver,
+            rng=rng,
+            admission=admission or Admission(timers=timers),
         )
         self._committer = Committer(timers=timers, keys=keys, resolver=resolver)
         self._opener = TransactionOpener(
--- a/src/heatherpier/writes/tests/test_session.py
+++ b/src/heatherpier/writes/tests/test_session.py
@@ -3,6 +3,7 @@
 import pytest
 
 from heatherpier._session import Session
+from heatherpier.limits import Admission
 from heatherpier.reads import Reader
 from heatherpier.requests import NotRunError, RefusedError
 from heatherpier.sessions import TokenSigner
@@ -23,7 +24,12 @@
     """Returns a function that runs a statement of one caller."""
     session = Session(
         groups={DATABASE: proxy.group},
-        reader=Reader(timers=timers, data_centre="south-a", rng=proxy.rng),
+        reader=Reader(
+            admission=Admission(timers=timers),
+            timers=timers,
+            data_centre="south-a",
+            rng=proxy.rng,
+        ),
         writer=proxy.writer,
         signer=signer,
         timers=timers,
