Sort statements by their text, with a list of built-in functions

Cause: unknown functions, comments with quotes, executable comments and CALL group_... statements could be taken for reads or reach an instance. Change: one pass blanks comments and literals; a query is a read only if it parses, locks nothing and calls nothing but listed built-in functions; what would live on in a pooled connection is refused.

--- a/src/heatherpier/callers/__init__.py
+++ b/src/heatherpier/callers/__init__.py
@@ -2,19 +2,17 @@
 
 from heatherpier.callers._configure import limits_of, ssl_context_of
 from heatherpier.callers._errors import CallerError
+from heatherpier.callers._kinds import Read, Unsupported, Write
 from heatherpier.callers._limits import CallerLimits
 from heatherpier.callers._listener import Listener
 from heatherpier.callers._packets import PacketAdapter
 from heatherpier.callers._session import CallerSession
 from heatherpier.callers._statements import (
     Ignored,
-    Read,
     SelectToken,
     SetAutocommit,
     SetHint,
     Statement,
-    Unsupported,
-    Write,
     classify,
 )
 from heatherpier.callers._transactions import Begin, Commit, Rollback, Savepoint
--- a/src/heatherpier/callers/_statements.py
+++ b/src/heatherpier/callers/_statements.py
@@ -1,12 +1,10 @@
 """Sorts a caller's statements by how they must be served."""
 
-import functools
 import re
 from dataclasses import dataclass
 
-import sqlglot
-from sqlglot import expressions as exp
-
+from heatherpier.callers._kinds import Read, Unsupported, Write
+from heatherpier.callers._shapes import classify_shape, shape_of
 from heatherpier.callers._transactions import (
     Begin,
     Commit,
@@ -24,19 +22,7 @@
     re.I,
 )
 COMMENTS = re.compile(r"(?:\s+|/\*(?!!).*?\*/|(?:--\s|#)[^\n]*\n)+", re.S)
-LITERAL = re.compile(r"'(?:[^'\\]|\\.|'')*'|\"(?:[^\"\\]|\\.|\"\")*\"|\b\d+\b")
 HARMLESS_SET = re.compile(r"SET\s+(NAMES|CHARACTER\s+SET)\b", re.I)
-SHAPES_CACHED = 4096
-
-
-@dataclass(frozen=True, slots=True)
-class Read:
-    """A statement that surely changes nothing and holds no lock."""
-
-
-@dataclass(frozen=True, slots=True)
-class Write:
-    """Any statement that is not surely a plain read."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,13 +50,6 @@
     """Sets something that changes no answer."""
 
 
-@dataclass(frozen=True, slots=True)
-class Unsupported:
-    """A statement that can't be carried over to an instance."""
-
-    reason: str
-
-
 Statement = (
     Read
     | Write
@@ -104,40 +83,4 @@
         return Unsupported(f"{text[:60]!r} is not a form that the proxy serves")
     if transaction is not None:
         return transaction
-    return _classify_shape(LITERAL.sub("0", text))
-
-
-@functools.lru_cache(maxsize=SHAPES_CACHED)
-def _classify_shape(text: str) -> Statement:
-    try:
-        parsed = [item for item in sqlglot.parse(text, read="mysql") if item]
-    except sqlglot.errors.SqlglotError:
-        return Write()
-    if len(parsed) != 1:
-        return Unsupported(f"expected one statement, got {len(parsed)}")
-    return _classify_expression(parsed[0])
-
-
-def _classify_expression(tree: exp.Expression) -> Statement:
-    match tree:
-        case exp.Transaction() | exp.Commit() | exp.Rollback():
-            return Unsupported("a transaction statement of a form not served")
-        case exp.Set():
-            return Unsupported("SET of a session variable would not follow the caller")
-        case exp.Select() | exp.Union() if _is_plain(tree):
-            return Read()
-        case _:
-            return Write()
-
-
-def _is_plain(tree: exp.Expression) -> bool:
-    side_effects = (
-        exp.Lock,
-        exp.Into,
-        exp.Anonymous,
-        exp.Parameter,
-        exp.Insert,
-        exp.Update,
-        exp.Delete,
-    )
-    return tree.find(*side_effects) is None
+    return classify_shape(shape_of(text))
