Serve prepared statements, drivers' questions and bad input at the border

Cause: the library filled placeholders by unescaped substitution, answered a failed login and then served commands, and looped for ever over a login without its last zero byte, which stopped the whole proxy. Change: own login check (1045 alike for unknown users, 1049 after the password), parameters as escaped literals, columns described by their values, limits on packets, time and prepared statements, local answers for what drivers and ORMs ask at connect, reset and change of user begin a new session. Ruled out: the library's placeholder pattern (quadratic, blind to comments).

--- a/src/heatherpier/_session.py
+++ b/src/heatherpier/_session.py
@@ -1,6 +1,6 @@
 """One caller's session: hints, token and where each statement goes."""
 
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from dataclasses import replace
 
 from heatherpier.callers import (
@@ -85,6 +85,11 @@
         """Whether a statement outside a transaction commits by itself."""
         return self._transactions.autocommit
 
+    @property
+    def databases(self) -> Collection[str]:
+        """Names of the databases that the caller may use."""
+        return self._groups.keys()
+
     async def execute(
         self, sql: str, *, database: str | None, hints: Mapping[str, str]
     ) -> Result:
--- a/src/heatherpier/callers/_connection.py
+++ b/src/heatherpier/callers/_connection.py
@@ -6,28 +6,46 @@
 from ssl import SSLContext
 from typing import Any
 
+from mysql_mimic.auth import NativePasswordAuthPlugin
 from mysql_mimic.connection import Connection
 from mysql_mimic.control import LocalControl
 from mysql_mimic.errors import ErrorCode, MysqlError
+from mysql_mimic.packets import (
+    make_auth_switch_request,
+    make_binary_resultrow,
+    make_column_definition_41,
+)
 from mysql_mimic.stream import ConnectionClosed
-from mysql_mimic.types import Commands
+from mysql_mimic.types import Commands, uint_len
 
 from heatherpier.callers._errors import (
     AccessDeniedError,
+    BadHandshakeError,
     CallerError,
     MalformedPacketError,
     ShutdownError,
+    UnknownDatabaseError,
 )
 from heatherpier.callers._limits import CallerLimits
 from heatherpier.callers._packets import PacketAdapter
+from heatherpier.callers._prepared import (
+    PreparedStatements,
+    PreparedText,
+    TooManyStatementsError,
+    UnknownStatementError,
+)
+from heatherpier.callers._rows import binary_columns
 from heatherpier.callers._session import SessionAdapter
-from heatherpier.callers._stream import CallerStream
+from heatherpier.callers._stream import TEXT_ENDS, CallerStream
 from heatherpier.callers._users import Users
 from heatherpier.telemetry import get_logger
 from heatherpier.timers import Timers
+from heatherpier.upstreams import Result
 
 log = get_logger("callers")
 
+UNKNOWN_STATEMENT = 1243
+TOO_MANY_STATEMENTS = 1461
 STOPPING = "the proxy is stopping; not run"
 
 Handler = Callable[[bytes], Awaitable[None]]
@@ -71,6 +89,7 @@
         self._limits = limits
         self._timers = timers
         self._packets = PacketAdapter(self)
+        self._prepared = PreparedStatements(limits)
         self._serving: asyncio.Task[Any] | None = None
         self._draining = False
         self._transactions_over = False
@@ -79,7 +98,6 @@
             Commands.COM_STMT_PREPARE: self.handle_stmt_prepare,
             Commands.COM_STMT_SEND_LONG_DATA: self.handle_stmt_send_long_data,
             Commands.COM_STMT_EXECUTE: self.handle_stmt_execute,
-            Commands.COM_STMT_FETCH: self.handle_stmt_fetch,
             Commands.COM_STMT_RESET: self.handle_stmt_reset,
             Commands.COM_STMT_CLOSE: self.handle_stmt_close,
             Commands.COM_PING: self.handle_ping,
@@ -95,12 +113,9 @@
             await self._serve()
         except ConnectionClosed:
             pass
-        except (OSError, TimeoutError) as exc:
+        except OSError as exc:
             log.info("caller lost", connection=self.connection_id, reason=str(exc))
             self.stream.abort()
-        except AccessDeniedError as exc:
-            log.info("access denied", connection=self.connection_id, reason=str(exc))
-            await self.stream.linger()
         except CallerError as exc:
             log.info("caller closed", connection=self.connection_id, reason=str(exc))
             await self._say_farewell(exc)
@@ -112,14 +127,10 @@
         try:
             async with self._timers.timeout(self._limits.handshake_s):
                 await self.connection_phase()
-        except (CallerError, ConnectionClosed, OSError, TimeoutError):
+        except (CallerError, ConnectionClosed, OSError):
             raise
-        except MysqlError as exc:
-            raise MalformedPacketError(f"bad handshake: {exc.msg}") from exc
         except Exception as exc:
-            raise MalformedPacketError(f"bad handshake: {exc!r:.100}") from exc
-        await self._adapter.init(self)
-        self._adapter.attach(self._packets)
+            raise BadHandshakeError(f"bad handshake: {exc!r:.100}") from exc
         while not self._must_close():
             if not await self._serve_command():
                 return
@@ -154,7 +165,7 @@
             await handler(data[1:])
         except MysqlError as exc:
             await self.stream.write(self.error(msg=exc.msg, code=exc.code))
-        except (CallerError, ConnectionClosed, OSError, TimeoutError):
+        except (CallerError, ConnectionClosed, OSError):
             raise
         except Exception as exc:
             # What is left are faults of parsing; the answer may have begun, so
@@ -162,22 +173,145 @@
             log.info("bad command", connection=self.connection_id, reason=repr(exc))
             raise MalformedPacketError(f"malformed command {data[0]:#04x}") from exc
 
-    async def authenticate(self, **fields: Any) -> None:
-        """Checks the caller's password.
+    async def authenticate(
+        self,
+        username: str,
+        auth_response: bytes,
+        client_plugin_name: str | None,
+        **_: Any,
+    ) -> None:
+        """Checks the caller's password and database, then answers.
 
-        The library answers a failure and then goes on to serve commands.
+        The library's own way answers a failure, but serves commands after it.
 
         Raises:
-            AccessDeniedError: The password is wrong; the caller has been told.
+            AccessDeniedError: The password is wrong.
+            UnknownDatabaseError: The user has no such database.
+        """
+        plugin = NativePasswordAuthPlugin()
+        if client_plugin_name not in (None, plugin.name):
+            auth_response = await self._switch_plugin(plugin.name)
+        user = await self.identity_provider.get_user(username)
+        nonce = (self.handshake_auth_data or b"").rstrip(b"\0")
+        if not plugin.password_matches(user=user, scramble=auth_response, nonce=nonce):
+            raise AccessDeniedError(f"access denied for user {username!r:.80}")
+        await self._adapter.open(
+            username, database=self.session.database, number=self.connection_id
+        )
+        self._adapter.attach(self._packets)
+        await self.stream.write(self.ok())
+
+    async def _switch_plugin(self, name: str) -> bytes:
+        await self.stream.write(
+            make_auth_switch_request(
+                server_charset=self.server_charset,
+                plugin_name=name,
+                plugin_provided_data=self.handshake_auth_data,
+            )
+        )
+        response: bytes = await self.stream.read_raw()
+        return response
+
+    async def handle_change_user(self, data: bytes) -> None:
+        """Authenticates again and begins a new session.
+
+        A failure ends the connection.
         """
-        self.session.username = None
-        await super().authenticate(**fields)
-        if self.session.username is None:
-            raise AccessDeniedError(f"access denied for user {fields['username']!r}")
+        self._prepared.clear()
+        await super().handle_change_user(data + TEXT_ENDS)
+
+    async def handle_reset_connection(self, data: bytes) -> None:
+        """Begins a new session of the same user."""
+        self._prepared.clear()
+        await self._adapter.reopen()
+        await self.stream.write(self.ok())
+
+    async def handle_init_db(self, data: bytes) -> None:
+        """Chooses a database; an unknown one leaves the connection as it was."""
+        try:
+            await super().handle_init_db(data)
+        except UnknownDatabaseError as exc:
+            self._packets.set_sqlstate(exc.sqlstate)
+            raise MysqlError(exc.message, exc.code) from exc
+
+    async def handle_stmt_prepare(self, data: bytes) -> None:
+        """Keeps a statement until it is executed."""
+        try:
+            statement = self._prepared.prepare(data.decode(self.client_charset.codec))
+        except TooManyStatementsError as exc:
+            raise MysqlError(str(exc), TOO_MANY_STATEMENTS) from exc
+        packets = [
+            b"\0"
+            + statement.number.to_bytes(4, "little")
+            + b"\0\0"
+            + statement.parameters.to_bytes(2, "little")
+            + b"\0\0\0"
+        ]
+        placeholder = make_column_definition_41(
+            server_charset=self.server_charset, name="?"
+        )
+        packets += [placeholder] * statement.parameters
+        if statement.parameters and not self.deprecate_eof():
+            packets.append(self.eof())
+        self.stream.write_many(packets)
+        await self.stream.drain()
+
+    async def handle_stmt_send_long_data(self, data: bytes) -> None:
+        """Keeps a piece of a parameter; the protocol has no answer to this."""
+        self._prepared.add_long_data(data)
+
+    async def handle_stmt_close(self, data: bytes) -> None:
+        """Forgets a statement; the protocol has no answer to this."""
+        self._prepared.close(int.from_bytes(data[:4], "little"))
+
+    async def handle_stmt_reset(self, data: bytes) -> None:
+        """Drops what was sent ahead for a statement."""
+        statement = self._find_prepared(int.from_bytes(data[:4], "little"))
+        statement.long_data.clear()
+        await self.stream.write(self.ok())
+
+    async def handle_stmt_execute(self, data: bytes) -> None:
+        """Runs a prepared statement and answers in the binary form."""
+        self._find_prepared(int.from_bytes(data[:4], "little"))
+        bound = self._prepared.bind(
+            data, capabilities=self.capabilities, charset=self.client_charset.codec
+        )
+        if bound.wants_cursor:
+            raise MysqlError("cursors are not served", ErrorCode.NOT_SUPPORTED_YET)
+        result = await self._adapter.run(bound.sql, bound.attributes)
+        if not result.columns:
+            await self.stream.write(self.ok())
+            return
+        await self._write_binary(result)
+
+    def _find_prepared(self, number: int) -> PreparedText:
+        try:
+            return self._prepared.get(number)
+        except UnknownStatementError as exc:
+            raise MysqlError(str(exc), UNKNOWN_STATEMENT) from exc
+
+    async def _write_binary(self, result: Result) -> None:
+        columns = binary_columns(result)
+        packets = [uint_len(len(columns))]
+        packets += [
+            make_column_definition_41(
+                server_charset=self.server_charset,
+                name=column.name,
+                column_type=column.type,
+                character_set=column.character_set,
+            )
+            for column in columns
+        ]
+        if not self.deprecate_eof():
+            packets.append(self.eof())
+        packets += [make_binary_resultrow(row, columns) for row in result.rows]
+        packets.append(self.ok_or_eof())
+        self.stream.write_many(packets)
+        await self.stream.drain()
 
     async def _say_farewell(self, exc: CallerError) -> None:
         self._packets.set_sqlstate(exc.sqlstate)
-        with contextlib.suppress(OSError, TimeoutError):
+        with contextlib.suppress(OSError):
             await self.stream.write_farewell(self.error(msg=exc.message, code=exc.code))
             await self.stream.linger()
 
--- a/src/heatherpier/callers/_errors.py
+++ b/src/heatherpier/callers/_errors.py
@@ -44,7 +44,21 @@
 
 
 class AccessDeniedError(CallerError):
-    """The user or its password is wrong; the caller has been told."""
+    """The user is unknown or its password is wrong."""
 
     code = 1045
     sqlstate = "28000"
+
+
+class UnknownDatabaseError(CallerError):
+    """The user has no such database."""
+
+    code = 1049
+    sqlstate = "42000"
+
+
+class BadHandshakeError(CallerError):
+    """The first packets of a connection break the protocol."""
+
+    code = 1043
+    sqlstate = "08S01"
--- /dev/null
+++ b/src/heatherpier/callers/_literals.py
@@ -0,0 +1,147 @@
+"""Writes the values of a prepared statement as SQL literals."""
+
+import datetime
+import io
+import struct
+from decimal import Decimal, InvalidOperation
+
+from mysql_mimic.types import ColumnType, read_str_len
+
+from heatherpier.callers._errors import MalformedPacketError
+
+TEXT_TYPES = frozenset(
+    {
+        ColumnType.VARCHAR,
+        ColumnType.VAR_STRING,
+        ColumnType.STRING,
+        ColumnType.ENUM,
+        ColumnType.SET,
+        ColumnType.JSON,
+    }
+)
+BLOB_TYPES = frozenset(
+    {
+        ColumnType.TINY_BLOB,
+        ColumnType.MEDIUM_BLOB,
+        ColumnType.LONG_BLOB,
+        ColumnType.BLOB,
+        ColumnType.BIT,
+        ColumnType.GEOMETRY,
+    }
+)
+DATE_TYPES = frozenset({ColumnType.DATE, ColumnType.DATETIME, ColumnType.TIMESTAMP})
+DECIMAL_TYPES = frozenset({ColumnType.DECIMAL, ColumnType.NEWDECIMAL})
+# Format of a signed number; the upper-case letter is the unsigned one.
+NUMBER_FORMATS = {
+    ColumnType.TINY: "<b",
+    ColumnType.BOOL: "<b",
+    ColumnType.SHORT: "<h",
+    ColumnType.YEAR: "<h",
+    ColumnType.LONG: "<i",
+    ColumnType.INT24: "<i",
+    ColumnType.LONGLONG: "<q",
+    ColumnType.FLOAT: "<f",
+    ColumnType.DOUBLE: "<d",
+}
+ESCAPES = str.maketrans({"'": "''", "\\": "\\\\", "\0": "\\0"})
+
+
+def read_literal(
+    reader: io.BytesIO, type_code: int, *, unsigned: bool, charset: str
+) -> str:
+    """Reads one binary value and returns it as a SQL literal.
+
+    Raises:
+        MalformedPacketError: The value is not of the type.
+    """
+    try:
+        return _read(reader, ColumnType(type_code), unsigned=unsigned, charset=charset)
+    except (ValueError, IndexError, struct.error, InvalidOperation) as exc:
+        raise MalformedPacketError(f"parameter of type {type_code}: {exc}") from exc
+
+
+def _read(reader: io.BytesIO, kind: ColumnType, *, unsigned: bool, charset: str) -> str:
+    if kind is ColumnType.NULL:
+        return "NULL"
+    if kind in NUMBER_FORMATS:
+        return _read_number(reader, NUMBER_FORMATS[kind], unsigned=unsigned)
+    if kind in DATE_TYPES:
+        return _read_date(reader)
+    if kind is ColumnType.TIME:
+        return _read_time(reader)
+    if kind in DECIMAL_TYPES:
+        return format(Decimal(read_str_len(reader).decode("ascii")), "f")
+    if kind in BLOB_TYPES:
+        return blob_literal(read_str_len(reader))
+    if kind in TEXT_TYPES:
+        return text_literal(read_str_len(reader), charset=charset)
+    raise ValueError(f"{kind.name} is not served")
+
+
+def _read_number(reader: io.BytesIO, code: str, *, unsigned: bool) -> str:
+    is_float = code in ("<f", "<d")
+    if unsigned and not is_float:
+        code = code.upper()
+    (value,) = struct.unpack(code, reader.read(struct.calcsize(code)))
+    return repr(value) if is_float else str(value)
+
+
+def _read_date(reader: io.BytesIO) -> str:
+    body = _read_sized(reader)
+    if not body:
+        return "'0000-00-00 00:00:00'"
+    year, month, day = struct.unpack("<HBB", body[:4])
+    text = f"{year:04}-{month:02}-{day:02}"
+    if len(body) > 4:
+        hour, minute, second = struct.unpack("<BBB", body[4:7])
+        text += f" {hour:02}:{minute:02}:{second:02}"
+    if len(body) > 7:
+        text += f".{struct.unpack('<I', body[7:11])[0]:06}"
+    return f"'{text}'"
+
+
+def _read_time(reader: io.BytesIO) -> str:
+    body = _read_sized(reader)
+    if not body:
+        return "'00:00:00'"
+    negative, days, hour, minute, second = struct.unpack("<BIBBB", body[:8])
+    text = f"{days * 24 + hour:02}:{minute:02}:{second:02}"
+    if len(body) > 8:
+        text += f".{struct.unpack('<I', body[8:12])[0]:06}"
+    return f"'{'-' if negative else ''}{text}'"
+
+
+def _read_sized(reader: io.BytesIO) -> bytes:
+    size = reader.read(1)[0]
+    body = reader.read(size)
+    if len(body) != size:
+        raise ValueError("the value is cut off")
+    return body
+
+
+def blob_literal(value: bytes) -> str:
+    """Returns bytes as a SQL literal."""
+    return f"x'{value.hex()}'"
+
+
+def text_literal(value: bytes, *, charset: str) -> str:
+    """Returns encoded text as a SQL literal; bytes that are no text as hexadecimal.
+
+    Drivers send bytes and text by the same type.
+    """
+    try:
+        text = value.decode(charset)
+    except UnicodeDecodeError:
+        return blob_literal(value)
+    return f"'{text.translate(ESCAPES)}'"
+
+
+def format_time(value: datetime.timedelta) -> str:
+    """Returns a duration as MySQL writes a TIME."""
+    microseconds = value // datetime.timedelta(microseconds=1)
+    sign = "-" if microseconds < 0 else ""
+    seconds, fraction = divmod(abs(microseconds), 1_000_000)
+    minutes, second = divmod(seconds, 60)
+    hour, minute = divmod(minutes, 60)
+    text = f"{sign}{hour:02}:{minute:02}:{second:02}"
+    return f"{text}.{fraction:06}" if fraction else text
--- a/src/heatherpier/callers/_session.py
+++ b/src/heatherpier/callers/_session.py
@@ -1,17 +1,29 @@
 """Joins the protocol library's session to the proxy's."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Mapping
 from typing import Any, Protocol
 
-from mysql_mimic import ColumnType, ResultColumn, ResultSet
+from mysql_mimic import ResultSet
 from mysql_mimic.errors import MysqlError
 from mysql_mimic.session import BaseSession
 from mysql_mimic.variables import GlobalVariables, SessionVariables
 
+from heatherpier.callers._errors import UnknownDatabaseError
+from heatherpier.callers._local import (
+    Answered,
+    ChooseDatabase,
+    ConnectionState,
+    Forward,
+    reply_to,
+)
 from heatherpier.callers._packets import PacketAdapter
+from heatherpier.callers._rows import text_columns
 from heatherpier.requests import FinalError
+from heatherpier.telemetry import get_logger
 from heatherpier.upstreams import Result
 
+log = get_logger("callers")
+
 
 class CallerSession(Protocol):
     """What one caller's connection needs from the proxy."""
@@ -24,6 +36,10 @@
     def autocommit(self) -> bool:
         """Whether a statement outside a transaction commits by itself."""
 
+    @property
+    def databases(self) -> Collection[str]:
+        """Names of the databases that the caller may use."""
+
     async def execute(
         self, sql: str, *, database: str | None, hints: Mapping[str, str]
     ) -> Result:
@@ -51,21 +67,46 @@
         self._open_session = open_session
         self._session: CallerSession | None = None
         self._packets: PacketAdapter | None = None
+        self._state = ConnectionState()
 
     @property
     def in_transaction(self) -> bool:
         """Whether the caller has an open transaction."""
         return self._session is not None and self._session.in_transaction
 
-    async def init(self, connection: Any) -> None:
-        """Opens the session of the caller that has authenticated."""
-        self._session = self._open_session(self.username or "")
+    async def open(
+        self, username: str, *, database: str | None, number: int = 0
+    ) -> None:
+        """Begins the session of a caller that has authenticated.
+
+        Raises:
+            UnknownDatabaseError: The user has no such database.
+        """
+        await self.close()
+        self.username = username
+        self._session = self._open_session(username)
+        self._state = ConnectionState(
+            user=username, number=number, databases=self._session.databases
+        )
+        self.database = None
+        if database:
+            await self.use(database)
+
+    async def reopen(self) -> None:
+        """Ends the session and begins another of the same user and database."""
+        await self.open(
+            self.username or "", database=self.database, number=self._state.number
+        )
+        self._set_status()
 
     def attach(self, packets: PacketAdapter) -> None:
         """Fills the answers' counts and flags through ``packets``."""
         self._packets = packets
         self._set_status()
 
+    async def reset(self) -> None:
+        """Does nothing, since `open` has begun a new session already."""
+
     async def close(self) -> None:
         """Ends the session."""
         if self._session is not None:
@@ -73,20 +114,44 @@
             await session.close()
 
     async def use(self, database: str) -> None:
-        """Chooses the database of the coming statements."""
+        """Chooses the database of the coming statements.
+
+        Raises:
+            UnknownDatabaseError: The user has no such database.
+        """
+        assert self._session is not None
+        if database not in self._session.databases:
+            raise UnknownDatabaseError(f"unknown database {database!r:.80}")
         self.database = database
+        self._state.database = database
 
     async def handle_query(self, sql: str, attrs: dict[str, str]) -> Any:
-        """Runs one statement."""
+        """Runs one statement and returns its rows in the text form."""
+        result = await self.run(sql, attrs)
+        if not result.columns:
+            return None
+        return ResultSet(rows=result.rows, columns=text_columns(result))
+
+    async def run(self, sql: str, attrs: Mapping[str, Any]) -> Result:
+        """Runs one statement.
+
+        Raises:
+            MysqlError: The final answer is not a result.
+        """
         assert self._session is not None
         assert self._packets is not None
         try:
-            result = await self._session.execute(
-                sql, database=self.database, hints=attrs
-            )
+            result = await self._answer(sql, attrs)
         except FinalError as exc:
             self._packets.set_sqlstate(exc.sqlstate)
             raise MysqlError(exc.message, exc.code) from exc
+        except UnknownDatabaseError as exc:
+            self._packets.set_sqlstate(exc.sqlstate)
+            raise MysqlError(exc.message, exc.code) from exc
+        except Exception as exc:
+            log.exception("statement failed", user=self.username)
+            self._packets.set_sqlstate(FinalError.sqlstate)
+            raise MysqlError("failed: internal error", FinalError.code) from exc
         finally:
             self._set_status()
         if not result.columns:
@@ -94,8 +159,28 @@
                 affected_rows=result.affected_rows,
                 last_insert_id=result.last_insert_id,
             )
-            return None
-        return ResultSet(rows=result.rows, columns=_columns(result))
+        return result
+
+    async def _answer(self, sql: str, attrs: Mapping[str, Any]) -> Result:
+        reply = reply_to(sql, self._state, in_transaction=self.in_transaction)
+        match reply:
+            case Answered(result=result):
+                return result
+            case ChooseDatabase(name=name):
+                await self.use(name)
+                return Result()
+            case Forward(sql=forwarded):
+                return await self._forward(forwarded, attrs)
+
+    async def _forward(self, sql: str, attrs: Mapping[str, Any]) -> Result:
+        assert self._session is not None
+        hints = {name: str(value) for name, value in attrs.items() if value is not None}
+        result = await self._session.execute(sql, database=self.database, hints=hints)
+        self._state.row_count = -1 if result.columns else result.affected_rows
+        self._state.found_rows = len(result.rows)
+        if result.last_insert_id:
+            self._state.last_insert_id = result.last_insert_id
+        return result
 
     def _set_status(self) -> None:
         if self._packets is not None and self._session is not None:
@@ -103,10 +188,3 @@
                 in_transaction=self._session.in_transaction,
                 autocommit=self._session.autocommit,
             )
-
-
-def _columns(result: Result) -> list[ResultColumn]:
-    return [
-        ResultColumn(name=column.name, type=ColumnType(column.type_code))
-        for column in result.columns
-    ]
--- a/src/heatherpier/callers/_stream.py
+++ b/src/heatherpier/callers/_stream.py
@@ -19,6 +19,8 @@
 FULL_PAYLOAD_BYTES = 0xFFFFFF
 SEQUENCE_SIZE = 256
 DISCARD_BYTES = 65536
+SSL_REQUEST_BYTES = 32
+TEXT_ENDS = bytes(4)
 
 
 class CallerStream:
@@ -56,6 +58,17 @@
     async def read(self) -> bytes:
         """Returns a packet of the handshake, whose time limit covers all of it.
 
+        Raises:
+            CallerError: The packet breaks the protocol or a limit.
+            ConnectionClosed: The caller closed the connection.
+        """
+        data = await self.read_raw()
+        # The library's parser looks for the end of a text for ever.
+        return data if len(data) <= SSL_REQUEST_BYTES else data + TEXT_ENDS
+
+    async def read_raw(self) -> bytes:
+        """Returns a packet as it is.
+
         Raises:
             CallerError: The packet breaks the protocol or a limit.
             ConnectionClosed: The caller closed the connection.
@@ -146,13 +159,13 @@
         await self._stream.start_tls(ssl)
 
     async def write_farewell(self, error_packet: bytes) -> None:
-        """Sends an error that answers whatever the caller sends next.
+        """Sends the last error of the connection.
 
-        The packet carries the number of an answer, so a driver takes it as the
-        answer to a statement that crossed it on the way.
+        Between commands it carries the number of an answer, so a driver takes it
+        as the answer to a statement that crossed it on the way.
         """
-        self.reset_seq()
-        next(self._stream.seq)
+        if self._stream.seq.value == 0:
+            next(self._stream.seq)
         await self.write(error_packet)
 
     async def linger(self) -> None:
--- a/src/heatherpier/callers/tests/conftest.py
+++ b/src/heatherpier/callers/tests/conftest.py
@@ -28,6 +28,7 @@
 
     def __init__(self, script):
         self.script = script
+        self.databases = {"assist", "claims"}
         self.in_transaction = False
         self.autocommit = True
         self.closed = False
