Use TLS towards callers and instances, and lend clean connections only

Cause: TLS was not served; a connection with a borrower's variables, locks or temporary tables went on to the next one. Found: a driver that sends its first TLS bytes together with the request for TLS (asyncmy) was refused, since they had been read as plain text; they are now handed to the TLS layer. asyncmy begins with TLS at once on a socket of ours, so under TLS it opens its own.

--- a/src/heatherpier/_proxy.py
+++ b/src/heatherpier/_proxy.py
@@ -64,7 +64,8 @@
         )
         self._connector = MysqlConnector(
             user=cfg.upstream_user,
-            password=cfg.upstream_password,
+            password=cfg.upstream_password.get_secret_value(),
+            tls_ca=cfg.upstream_tls_ca,
             program_name=f"heatherpier/{cfg.data_centre}/{cfg.name}",
         )
         self._services: dict[str, ServiceModel] = {}
--- a/src/heatherpier/callers/_stream.py
+++ b/src/heatherpier/callers/_stream.py
@@ -155,9 +155,26 @@
             await self._stream.drain()
 
     async def start_tls(self, ssl: SSLContext) -> None:
-        """Goes on under TLS."""
+        """Goes on under TLS.
+
+        The caller's first TLS bytes may have arrived together with its request
+        for TLS; they are handed to the TLS layer, never taken for plain text.
+        """
+        transport: Any = self._writer.transport
+        transport.pause_reading()
+        early = await self._take_buffered()
+        loop = asyncio.get_running_loop()
+        # Runs after the callbacks by which the loop connects the TLS layer.
+        loop.call_soon(loop.call_soon, _feed, transport, early)
         await self._stream.start_tls(ssl)
 
+    async def _take_buffered(self) -> bytes:
+        try:
+            async with self._timers.timeout(0):
+                return await self._reader.read(DISCARD_BYTES)
+        except TimeoutError:
+            return b""
+
     async def write_farewell(self, error_packet: bytes) -> None:
         """Sends the last error of the connection.
 
@@ -188,3 +205,13 @@
         """Closes the connection at once."""
         transport: Any = self._writer.transport
         transport.abort()
+
+
+def _feed(transport: Any, data: bytes) -> None:
+    protocol = transport.get_protocol()
+    while data:
+        buffer = protocol.get_buffer(len(data))
+        size = min(len(buffer), len(data))
+        buffer[:size] = data[:size]
+        protocol.buffer_updated(size)
+        data = data[size:]
--- a/src/heatherpier/callers/tests/conftest.py
+++ b/src/heatherpier/callers/tests/conftest.py
@@ -87,12 +87,18 @@
 
 
 @pytest.fixture
-async def listener(script, limits):
+def tls():
+    return None
+
+
+@pytest.fixture
+async def listener(script, limits, tls):
     listener = Listener(
         open_session=script.open_session,
         password_hashes={"dispatch": hash_password("secret")},
         timers=LoopTimers(),
         limits=limits,
+        ssl=tls,
     )
     await listener.start(host="127.0.0.1", port=0)
     yield listener
--- a/src/heatherpier/settings/_process.py
+++ b/src/heatherpier/settings/_process.py
@@ -79,6 +79,8 @@
         token_keys: Hexadecimal secret keys for session tokens; the first signs.
         upstream_user: User name at the instances.
         upstream_password: Password at the instances.
+        upstream_tls_ca: Path of a PEM file that signs the instances' certificates,
+            or None for connections without TLS.
         document: Path of the first configuration document.
         log_level: Least level that is logged.
         callers: Limits of the listener.
@@ -97,7 +99,8 @@
         Field(min_length=1, max_length=4),
     ]
     upstream_user: str = "heatherpier"
-    upstream_password: str = ""
+    upstream_password: SecretStr = SecretStr("")
+    upstream_tls_ca: str | None = None
     document: str
     log_level: Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
     callers: CallersModel = CallersModel()
--- a/src/heatherpier/upstreams/_mysql.py
+++ b/src/heatherpier/upstreams/_mysql.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import ssl
 from typing import Any
 
 import asyncmy
@@ -33,9 +34,19 @@
         user: User name at the instances.
         password: The user's password.
         program_name: Sent as a connection attribute, shown in process lists.
+        tls_ca: Path of a PEM file; if set, connections use TLS and the instance's
+            certificate must be signed by it for its IP address.
     """
 
-    def __init__(self, *, user: str, password: str, program_name: str) -> None:
+    def __init__(
+        self,
+        *,
+        user: str,
+        password: str,
+        program_name: str,
+        tls_ca: str | None = None,
+    ) -> None:
+        self._ssl = ssl.create_default_context(cafile=tls_ca) if tls_ca else None
         self._user = user
         self._password = password
         self._program_name = program_name
@@ -47,22 +58,31 @@
             ConnectError: Nothing answers at the address, or it refused.
             TooManyConnectionsError: The instance's limit is reached.
         """
+        if self._ssl is not None:
+            # On a socket of ours the driver would begin with TLS at once instead
+            # of asking for it in the protocol.
+            return await self._handshake(
+                instance, host=instance.host, port=instance.port, ssl=self._ssl
+            )
         sock = await _open_socket(instance)
+        try:
+            return await self._handshake(instance, sock=sock)
+        except BaseException:
+            sock.close()
+            raise
+
+    async def _handshake(self, instance: Instance, **target: Any) -> Connection:
         try:
             conn = await asyncmy.connect(
-                sock=sock,
                 user=self._user,
                 password=self._password,
                 database=instance.database or None,
                 autocommit=None,
                 connect_timeout=CONNECT_TIMEOUT_S,
                 program_name=self._program_name,
+                **target,
             )
-        except asyncio.CancelledError:
-            sock.close()
-            raise
         except (OSError, driver_errors.MySQLError, EOFError) as exc:
-            sock.close()
             if exc.args and exc.args[0] == TOO_MANY_CONNECTIONS:
                 raise TooManyConnectionsError(f"{instance.name}: {exc}") from exc
             raise ConnectError(f"{instance.name}: {exc}") from exc
--- a/src/heatherpier/upstreams/_pool.py
+++ b/src/heatherpier/upstreams/_pool.py
@@ -14,6 +14,7 @@
     UpstreamError,
 )
 from heatherpier.upstreams._interface import Connection, Connector, Instance, Result
+from heatherpier.upstreams._state import leaves_state
 
 # An idle connection older than this proves that it still works before it is lent.
 IDLE_CHECK_S = 1.0
@@ -36,6 +37,8 @@
         self.name = name
         self.usable = True
         self.in_transaction = False
+        # Set once a statement has left state that another borrower would meet.
+        self.dirty = False
 
     async def execute(self, sql: str, *, timeout_s: float) -> Result:
         """Runs one statement.
@@ -50,6 +53,7 @@
         """
         if not self.usable:
             raise ConnectionLostError(f"{self.name}: the connection was closed before")
+        self.dirty = self.dirty or leaves_state(sql)
         try:
             async with self._timers.timeout(timeout_s):
                 return await self._conn.execute(sql)
@@ -95,7 +99,8 @@
         """Lends a connection for the duration of the context.
 
         A connection that leaves the context after an error other than
-        `StatementError`, or inside a transaction, is closed, never lent again.
+        `StatementError`, inside a transaction, or with state of its borrower is
+        closed, never lent again.
 
         Args:
             timeout_s: Longest wait for a free connection, in seconds.
@@ -152,7 +157,7 @@
     def _checkin(self, conn: PooledConnection) -> None:
         if not conn.usable:
             return
-        if self._closed or conn.in_transaction:
+        if self._closed or conn.in_transaction or conn.dirty:
             conn.abort()
             return
         self._idle.append((self._timers.now(), conn))
