Check settings by name, add schema and status commands

Cause: messages showed whole sections, with secrets; host names, doubled addresses and even counts of instances were accepted; no schema was written.

--- a/src/heatherpier/_cli.py
+++ b/src/heatherpier/_cli.py
@@ -3,6 +3,8 @@
 Usage:
   heatherpier proxy --settings=FILE
   heatherpier check DOCUMENT
+  heatherpier schema (settings | document)
+  heatherpier status --admin=ADDRESS
   heatherpier bench instance --settings=FILE
   heatherpier bench demo [--deployment=NAME] [--proxies=N] [--seed=N]
   heatherpier bench writes
@@ -11,6 +13,7 @@
 
 Options:
   --settings=FILE    JSON file with the settings of the process.
+  --admin=ADDRESS    Admin endpoint of a proxy, as IP:port.
   --deployment=NAME  sen-vang or lantern-ledger [default: sen-vang].
   --proxies=N        Count of proxies [default: 4].
   --seed=N           Seed of all random choices; a new one if not given.
@@ -19,6 +22,8 @@
 Examples:
   heatherpier check examples/document.json
   heatherpier proxy --settings=examples/proxy.json
+  heatherpier schema document > document.schema.json
+  heatherpier status --admin=10.1.0.11:8306
   heatherpier bench demo --deployment=lantern-ledger --proxies=12 --seed=7
 
 Exit codes:
@@ -28,30 +33,46 @@
 """
 
 import asyncio
+import logging
 import os
 import sys
 from pathlib import Path
 
-from docopt import docopt
+from docopt import DocoptExit, docopt
+from logbook.compat import redirected_logging
 
 from heatherpier import __version__
 from heatherpier._proxy import Proxy
+from heatherpier._status_command import StatusError, fetch_status_lines
 from heatherpier.bench import run_bench
-from heatherpier.settings import InvalidSettingsError, load_document, load_settings
+from heatherpier.settings import (
+    InvalidSettingsError,
+    load_document,
+    load_settings,
+    schema_text,
+)
 from heatherpier.telemetry import JsonHandler
 
 EXIT_OK = 0
+EXIT_FAILED = 1
 EXIT_INVALID = 2
 
 
 def main(argv: list[str] | None = None) -> None:
     """Runs one sub-command and exits with its code."""
-    args = docopt(__doc__, argv=argv)
+    try:
+        args = docopt(__doc__, argv=argv)
+    except DocoptExit as exc:
+        print(exc, file=sys.stderr)
+        sys.exit(EXIT_INVALID)
     try:
         code = _run(args)
     except InvalidSettingsError as exc:
         print(f"heatherpier: {exc}", file=sys.stderr)
         code = EXIT_INVALID
+    except (StatusError, OSError) as exc:
+        print(f"heatherpier: {exc}", file=sys.stderr)
+        code = EXIT_FAILED
     sys.exit(code)
 
 
@@ -63,6 +84,12 @@
         document = load_document(Path(args["DOCUMENT"]))
         print(f"valid: {len(document.services)} services")
         return EXIT_OK
+    if args["schema"]:
+        print(schema_text("settings" if args["settings"] else "document"), end="")
+        return EXIT_OK
+    if args["status"]:
+        print("\n".join(asyncio.run(fetch_status_lines(args["--admin"]))))
+        return EXIT_OK
     if args["bench"]:
         return run_bench(args)
     return _run_proxy(Path(args["--settings"]))
@@ -73,5 +100,7 @@
     document = load_document(Path(cfg.document))
     fields = {"proxy": cfg.name, "data_centre": cfg.data_centre}
     handler = JsonHandler(level=cfg.log_level, fields=fields)
-    with handler.applicationbound():
+    # The SQL parser reports through `logging` each statement that it only skims.
+    logging.getLogger("sqlglot").setLevel(logging.ERROR)
+    with handler.applicationbound(), redirected_logging():
         return asyncio.run(Proxy(cfg, document, log_handler=handler).run())
--- a/src/heatherpier/_status.py
+++ b/src/heatherpier/_status.py
@@ -15,6 +15,8 @@
         term: Term that it has adopted.
         index: Index of its last applied log entry.
         age_ms: Age of its data in milliseconds, or None if not known.
+        connections: Connections that this proxy has open to it.
+        connection_limit: Connections that this proxy may open to it.
     """
 
     name: str
@@ -22,6 +24,8 @@
     term: int
     index: int
     age_ms: int | None
+    connections: int
+    connection_limit: int
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -79,12 +83,12 @@
 
 def _instance_summary(group: Group, name: str) -> InstanceSummary:
     status = group.statuses.get(name)
-    if status is None:
-        return InstanceSummary(name=name, role="unknown", term=0, index=0, age_ms=None)
     return InstanceSummary(
         name=name,
-        role=status.role.value,
-        term=status.adopted_term,
-        index=status.position.index,
-        age_ms=status.age_ms,
+        role=status.role.value if status else "unknown",
+        term=status.adopted_term if status else 0,
+        index=status.position.index if status else 0,
+        age_ms=status.age_ms if status else None,
+        connections=group.pools[name].open_connections,
+        connection_limit=group.spec.connections,
     )
--- a/src/heatherpier/settings/__init__.py
+++ b/src/heatherpier/settings/__init__.py
@@ -16,8 +16,10 @@
     ProxySettings,
     StopModel,
 )
+from heatherpier.settings._schema import SCHEMAS, schema_text
 
 __all__ = [
+    "SCHEMAS",
     "AdminModel",
     "CallersModel",
     "Document",
@@ -32,4 +34,5 @@
     "load_document",
     "load_model",
     "load_settings",
+    "schema_text",
 ]
--- a/src/heatherpier/settings/_document.py
+++ b/src/heatherpier/settings/_document.py
@@ -4,10 +4,7 @@
 
 from pydantic import Field, model_validator
 
-from heatherpier.settings._base import StrictModel
-
-Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9_-]{0,62}$")]
-Port = Annotated[int, Field(ge=1, le=65535)]
+from heatherpier.settings._base import IpAddress, Name, Port, StrictModel
 
 
 class InstanceModel(StrictModel):
@@ -22,7 +19,7 @@
     """
 
     name: Name
-    host: str
+    host: IpAddress
     port: Port
     data_centre: Name
     leaving: bool = False
@@ -87,7 +84,7 @@
     services: Annotated[tuple[ServiceModel, ...], Field(min_length=1)]
 
     @model_validator(mode="after")
-    def _names_are_unique(self) -> Self:
+    def _is_consistent(self) -> Self:
         groups = [group for service in self.services for group in service.groups]
         instances = [instance for group in groups for instance in group.instances]
         users = [user for service in self.services for user in service.users]
@@ -96,10 +93,31 @@
         _require_unique("database", [group.database for group in groups])
         _require_unique("instance", [instance.name for instance in instances])
         _require_unique("user", [user.name for user in users])
+        _require_unique("address", [f"{item.host}:{item.port}" for item in instances])
+        for service in self.services:
+            _check_service(service)
         return self
 
 
 def _require_unique(kind: str, names: list[str]) -> None:
     doubled = sorted({name for name in names if names.count(name) > 1})
     if doubled:
-        raise ValueError(f"{kind} name {doubled[0]!r} is used more than once")
+        raise ValueError(f"{kind} {doubled[0]!r} is used more than once")
+
+
+def _check_service(service: ServiceModel) -> None:
+    if service.slots > service.connections:
+        raise ValueError(
+            f"service {service.name!r}: expected slots of at most its "
+            f"{service.connections} connections, got {service.slots}"
+        )
+    for group in service.groups:
+        count = len(group.instances)
+        if count % 2 == 0:
+            raise ValueError(
+                f"group {group.name!r}: expected an odd count of instances, got {count}"
+            )
+        if all(item.leaving for item in group.instances):
+            raise ValueError(
+                f"group {group.name!r}: expected an instance that is not leaving"
+            )
--- a/src/heatherpier/settings/_process.py
+++ b/src/heatherpier/settings/_process.py
@@ -4,8 +4,7 @@
 
 from pydantic import Field, SecretStr, model_validator
 
-from heatherpier.settings._base import StrictModel
-from heatherpier.settings._document import Name, Port
+from heatherpier.settings._base import IpAddress, Name, Port, StrictModel
 
 
 class CallersModel(StrictModel):
@@ -61,7 +60,7 @@
         token: Secret for changes of the log level; empty forbids them.
     """
 
-    host: str = "127.0.0.1"
+    host: IpAddress = "127.0.0.1"
     port: Port
     token: SecretStr = SecretStr("")
 
@@ -91,7 +90,7 @@
     name: Name
     deployment: Name
     data_centre: Name
-    host: str = "127.0.0.1"
+    host: IpAddress = "127.0.0.1"
     port: Port
     proxies: Annotated[int, Field(ge=1, le=10_000)] = 4
     token_keys: Annotated[
--- a/src/heatherpier/upstreams/_pool.py
+++ b/src/heatherpier/upstreams/_pool.py
@@ -92,8 +92,14 @@
         self._timers = timers
         self._free = asyncio.Semaphore(limit)
         self._idle: list[tuple[float, PooledConnection]] = []
+        self._lent = 0
         self._closed = False
 
+    @property
+    def open_connections(self) -> int:
+        """Count of connections that are lent or idle."""
+        return self._lent + len(self._idle)
+
     @asynccontextmanager
     async def borrow(self, *, timeout_s: float) -> AsyncIterator[PooledConnection]:
         """Lends a connection for the duration of the context.
@@ -115,6 +121,7 @@
             raise PoolBusyError(f"{self.instance.name}: all connections busy") from exc
         try:
             conn = await self._checkout(timeout_s=timeout_s)
+            self._lent += 1
             try:
                 yield conn
             except StatementError:
@@ -123,6 +130,7 @@
                 conn.abort()
                 raise
             finally:
+                self._lent -= 1
                 self._checkin(conn)
         finally:
             self._free.release()
