--- a/src/heatherpier/settings/_document.py
+++ b/src/heatherpier/settings/_document.py
@@ -106,11 +106,6 @@
 
 
 def _check_service(service: ServiceModel) -> None:
-    if service.slots > service.connections:
-        raise ValueError(
-            f"service {service.name!r}: expected slots of at most its "
-            f"{service.connections} connections, got {service.slots}"
-        )
     for group in service.groups:
         count = len(group.instances)
         if count % 2 == 0:
