--- a/src/heatherpier/callers/_stream.py
+++ b/src/heatherpier/callers/_stream.py
@@ -19,6 +19,8 @@
 FULL_PAYLOAD_BYTES = 0xFFFFFF
 SEQUENCE_SIZE = 256
 DISCARD_BYTES = 65536
+SSL_REQUEST_BYTES = 32
+TEXT_ENDS = bytes(4)
 
 
 class CallerStream:
@@ -56,6 +58,17 @@
     async def read(self) -> bytes:
         """Returns a packet of the handshake, whose time limit covers all of it.
 
+        Raises:
+            CallerError: The packet breaks the protocol or a limit.
+            ConnectionClosed: The caller closed the connection.
+        """
+        data = await self.read_raw()
+        # The library's parser looks for the end of a text for ever.
+        return data if len(data) <= SSL_REQUEST_BYTES else data + TEXT_ENDS
+
+    async def read_raw(self) -> bytes:
+        """Returns a packet as it is.
+
         Raises:
             CallerError: The packet breaks the protocol or a limit.
             ConnectionClosed: The caller closed the connection.
@@ -142,17 +155,34 @@
             await self._stream.drain()
 
     async def start_tls(self, ssl: SSLContext) -> None:
-        """Goes on under TLS."""
+        """Goes on under TLS.
+
+        The caller's first TLS bytes may have arrived together with its request
+        for TLS; they are handed to the TLS layer, never taken for plain text.
+        """
+        transport: Any = self._writer.transport
+        transport.pause_reading()
+        early = await self._take_buffered()
+        loop = asyncio.get_running_loop()
+        # Runs after the callbacks by which the loop connects the TLS layer.
+        loop.call_soon(loop.call_soon, _feed, transport, early)
         await self._stream.start_tls(ssl)
 
+    async def _take_buffered(self) -> bytes:
+        try:
+            async with self._timers.timeout(0):
+                return await self._reader.read(DISCARD_BYTES)
+        except TimeoutError:
+            return b""
+
     async def write_farewell(self, error_packet: bytes) -> None:
-        """Sends an error that answers whatever the caller sends next.
+        """Sends the last error of the connection.
 
-        The packet carries the number of an answer, so a driver takes it as the
-        answer to a statement that crossed it on the way.
+        Between commands it carries the number of an answer, so a driver takes it
+        as the answer to a statement that crossed it on the way.
         """
-        self.reset_seq()
-        next(self._stream.seq)
+        if self._stream.seq.value == 0:
+            next(self._stream.seq)
         await self.write(error_packet)
 
     async def linger(self) -> None:
@@ -175,3 +205,13 @@
         """Closes the connection at once."""
         transport: Any = self._writer.transport
         transport.abort()
+
+
+def _feed(transport: Any, data: bytes) -> None:
+    protocol = transport.get_protocol()
+    while data:
+        buffer = protocol.get_buffer(len(data))
+        size = min(len(buffer), len(data))
+        buffer[:size] = data[:size]
+        protocol.buffer_updated(size)
+        data = data[size:]
--- a/src/heatherpier/settings/_process.py
+++ b/src/heatherpier/settings/_process.py
@@ -4,8 +4,7 @@
 
 from pydantic import Field, SecretStr, model_validator
 
-from heatherpier.settings._base import StrictModel
-from heatherpier.settings._document import Name, Port
+from heatherpier.settings._base import IpAddress, Name, Port, StrictModel
 
 
 class CallersModel(StrictModel):
@@ -61,7 +60,7 @@
         token: Secret for changes of the log level; empty forbids them.
     """
 
-    host: str = "127.0.0.1"
+    host: IpAddress = "127.0.0.1"
     port: Port
     token: SecretStr = SecretStr("")
 
@@ -79,6 +78,8 @@
         token_keys: Hexadecimal secret keys for session tokens; the first signs.
         upstream_user: User name at the instances.
         upstream_password: Password at the instances.
+        upstream_tls_ca: Path of a PEM file that signs the instances' certificates,
+            or None for connections without TLS.
         document: Path of the first configuration document.
         log_level: Least level that is logged.
         callers: Limits of the listener.
@@ -89,7 +90,7 @@
     name: Name
     deployment: Name
     data_centre: Name
-    host: str = "127.0.0.1"
+    host: IpAddress = "127.0.0.1"
     port: Port
     proxies: Annotated[int, Field(ge=1, le=10_000)] = 4
     token_keys: Annotated[
@@ -97,7 +98,8 @@
         Field(min_length=1, max_length=4),
     ]
     upstream_user: str = "heatherpier"
-    upstream_password: str = ""
+    upstream_password: SecretStr = SecretStr("")
+    upstream_tls_ca: str | None = None
     document: str
     log_level: Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
     callers: CallersModel = CallersModel()
--- a/src/heatherpier/upstreams/_pool.py
+++ b/src/heatherpier/upstreams/_pool.py
@@ -14,6 +14,7 @@
     UpstreamError,
 )
 from heatherpier.upstreams._interface import Connection, Connector, Instance, Result
+from heatherpier.upstreams._state import leaves_state
 
 # An idle connection older than this proves that it still works before it is lent.
 IDLE_CHECK_S = 1.0
@@ -36,6 +37,8 @@
         self.name = name
         self.usable = True
         self.in_transaction = False
+        # Set once a statement has left state that another borrower would meet.
+        self.dirty = False
 
     async def execute(self, sql: str, *, timeout_s: float) -> Result:
         """Runs one statement.
@@ -50,6 +53,7 @@
         """
         if not self.usable:
             raise ConnectionLostError(f"{self.name}: the connection was closed before")
+        self.dirty = self.dirty or leaves_state(sql)
         try:
             async with self._timers.timeout(timeout_s):
                 return await self._conn.execute(sql)
@@ -88,14 +92,21 @@
         self._timers = timers
         self._free = asyncio.Semaphore(limit)
         self._idle: list[tuple[float, PooledConnection]] = []
+        self._lent = 0
         self._closed = False
 
+    @property
+    def open_connections(self) -> int:
+        """Count of connections that are lent or idle."""
+        return self._lent + len(self._idle)
+
     @asynccontextmanager
     async def borrow(self, *, timeout_s: float) -> AsyncIterator[PooledConnection]:
         """Lends a connection for the duration of the context.
 
         A connection that leaves the context after an error other than
-        `StatementError`, or inside a transaction, is closed, never lent again.
+        `StatementError`, inside a transaction, or with state of its borrower is
+        closed, never lent again.
 
         Args:
             timeout_s: Longest wait for a free connection, in seconds.
@@ -110,6 +121,7 @@
             raise PoolBusyError(f"{self.instance.name}: all connections busy") from exc
         try:
             conn = await self._checkout(timeout_s=timeout_s)
+            self._lent += 1
             try:
                 yield conn
             except StatementError:
@@ -118,6 +130,7 @@
                 conn.abort()
                 raise
             finally:
+                self._lent -= 1
                 self._checkin(conn)
         finally:
             self._free.release()
@@ -152,7 +165,7 @@
     def _checkin(self, conn: PooledConnection) -> None:
         if not conn.usable:
             return
-        if self._closed or conn.in_transaction:
+        if self._closed or conn.in_transaction or conn.dirty:
             conn.abort()
             return
         self._idle.append((self._timers.now(), conn))
