--- a/src/heatherpier/bench/_failover.py
+++ b/src/heatherpier/bench/_failover.py
@@ -149,6 +149,7 @@
         network = self.group.network
         network.restart(name)
         self.instance(name).resume()
+        self.instance(name).faults.replication_stopped = False
         for peer in self.proxies + self._others(name):
             network.heal(peer, name)
 
--- a/src/heatherpier/groups/_directory.py
+++ b/src/heatherpier/groups/_directory.py
@@ -5,8 +5,9 @@
 """
 
 import asyncio
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
-from typing import Protocol
+from typing import Any, Protocol
 
 from heatherpier.groups._errors import DirectoryError
 from heatherpier.telemetry import get_logger
@@ -105,22 +106,26 @@
     Args:
         directory: Where to record them, or None for nowhere.
         timers: Timer service.
+        start: Runs the work as a task that ends with the group at the latest.
     """
 
-    def __init__(self, directory: Directory | None, *, timers: Timers) -> None:
+    def __init__(
+        self,
+        directory: Directory | None,
+        *,
+        timers: Timers,
+        start: Callable[[Coroutine[Any, Any, None]], asyncio.Task[None]],
+    ) -> None:
         self._directory = directory
         self._timers = timers
+        self._start = start
         self._task: asyncio.Task[None] | None = None
 
     def submit(self, record: DirectoryRecord) -> None:
         """Records a primary in place of any earlier one not yet recorded."""
-        self.close()
+        if self._task is not None:
+            self._task.cancel()
         if self._directory is None:
             return
         work = record_primary(self._directory, record, timers=self._timers)
-        self._task = asyncio.create_task(work)
-
-    def close(self) -> None:
-        """Gives up what is not yet recorded."""
-        if self._task is not None:
-            self._task.cancel()
+        self._task = self._start(work)
--- a/src/heatherpier/groups/_promoter.py
+++ b/src/heatherpier/groups/_promoter.py
@@ -75,7 +75,7 @@
         self._proxy = proxy
         self._timers = timers
         self._rng = rng
-        self._recorder = DirectoryRecorder(directory, timers=timers)
+        self._recorder = DirectoryRecorder(directory, timers=timers, start=group.start)
 
     async def replace_primary(
         self, *, cause: str, avoid: Collection[str] = ()
@@ -158,10 +158,6 @@
                 cause=str(exc),
             )
 
-    def close(self) -> None:
-        """Gives up what is not yet recorded in the directory."""
-        self._recorder.close()
-
     def _next_proposal(self) -> tuple[int, str]:
         # Two attempts never share a proposer, or a restarted proxy could promote
         # a second instance in a term that an earlier attempt already used.
--- a/src/heatherpier/groups/_watcher.py
+++ b/src/heatherpier/groups/_watcher.py
@@ -74,13 +74,10 @@
 
     async def run(self) -> None:
         """Watches the group for as long as the task runs."""
-        try:
-            async with asyncio.TaskGroup() as tasks:
-                for name in self._group.pools:
-                    tasks.create_task(self._probe_forever(name))
-                tasks.create_task(self._decide_forever())
-        finally:
-            self._promoter.close()
+        async with asyncio.TaskGroup() as tasks:
+            for name in self._group.pools:
+                tasks.create_task(self._probe_forever(name))
+            tasks.create_task(self._decide_forever())
 
     # Probes
 
--- a/src/heatherpier/groups/tests/test_fault_schedules.py
+++ b/src/heatherpier/groups/tests/test_fault_schedules.py
@@ -17,7 +17,7 @@
 
 def bring_fault(cluster, rng):
     name = rng.choice(cluster.group.instances).name
-    match rng.randrange(6):
+    match rng.randrange(8):
         case 0 | 1:
             cluster.lose(rng.choice(list(Loss)), name)
         case 2:
@@ -29,6 +29,8 @@
             cluster.instance(name).faults.lose_answers_to[statement] = 2
         case 5:
             cluster.directory.faults.down = rng.random() < 0.5
+        case 6 | 7:
+            cluster.instance(name).faults.replication_stopped = True
 
 
 async def run_schedule(cluster, timers, seed):
