--- a/src/heatherpier/_cli.py
+++ b/src/heatherpier/_cli.py
@@ -8,6 +8,8 @@
   heatherpier bench instance --settings=FILE
   heatherpier bench demo [--deployment=NAME] [--proxies=N] [--seed=N]
   heatherpier bench writes
+  heatherpier bench reads [--deployment=NAME] [--proxies=N] [--seed=N]
+  heatherpier bench overload [--proxies=N] [--seed=N]
   heatherpier version
   heatherpier (-h | --help)
 
--- a/src/heatherpier/bench/_commands.py
+++ b/src/heatherpier/bench/_commands.py
@@ -9,6 +9,8 @@
 from heatherpier.bench._demo import run_demo
 from heatherpier.bench._deployment import DEPLOYMENTS
 from heatherpier.bench._instance_server import run_instance
+from heatherpier.bench._overload import run_overload
+from heatherpier.bench._read_share import READ_MIXES, run_reads
 from heatherpier.bench._write_cost import print_write_costs
 from heatherpier.settings import InvalidSettingsError
 
@@ -29,9 +31,25 @@
     if args["writes"]:
         print_write_costs()
         return EXIT_OK
+    if args["reads"]:
+        return _run_reads(args)
+    if args["overload"]:
+        proxies = _integer(args, "--proxies", least=1)
+        run_overload(proxies=proxies, seed=_seed(args))
+        return EXIT_OK
     return _run_demo(args)
 
 
+def _run_reads(args: Mapping[str, Any]) -> int:
+    name = args["--deployment"]
+    if name not in READ_MIXES:
+        known = ", ".join(READ_MIXES)
+        raise InvalidSettingsError("--deployment", [f"expected {known}, got {name!r}"])
+    proxies = _integer(args, "--proxies", least=1)
+    served = run_reads(READ_MIXES[name], proxies=proxies, seed=_seed(args))
+    return EXIT_OK if served else EXIT_FAILED
+
+
 def _run_demo(args: Mapping[str, Any]) -> int:
     name = args["--deployment"]
     if name not in DEPLOYMENTS:
--- a/src/heatherpier/limits/_gate.py
+++ b/src/heatherpier/limits/_gate.py
@@ -4,6 +4,7 @@
 
 from heatherpier.limits._concurrency import Concurrency
 from heatherpier.limits._meters import Rate
+from heatherpier.limits._metrics import CONCURRENCY, REFUSED, WAITING
 from heatherpier.limits._queue import FairQueue, Use, Waiter
 from heatherpier.requests import OverloadedError, Priority
 from heatherpier.timers import Timers
@@ -79,7 +80,7 @@
         least_s = wait_s * WAIT_MARGIN + self._concurrency.delay.value
         late = now + least_s > waiter.deadline
         if wait_s and late:
-            raise self._refusal(wait_s)
+            raise self._refusal(waiter, wait_s)
         if len(self._queue) >= MAX_WAITERS:
             self._make_room(waiter, wait_s=wait_s)
         self._queue.push(waiter)
@@ -92,7 +93,7 @@
                 await waiter.granted
         except TimeoutError as exc:
             self._withdraw(waiter)
-            raise self._refusal(wait_s) from exc
+            raise self._refusal(waiter, wait_s) from exc
         except BaseException:
             self._withdraw(waiter)
             raise
@@ -148,6 +149,8 @@
             if waiter.use is Use.PRIMARY_READ:
                 self._primary_reads += 1
             waiter.granted.set_result(None)
+        WAITING.labels(self._name).set(len(self._queue))
+        CONCURRENCY.labels(self._name).set(self._concurrency.limit)
 
     def _count(self, use: Use, change: int) -> None:
         self._running += change
@@ -187,7 +190,7 @@
     def _make_room(self, waiter: Waiter, *, wait_s: float) -> None:
         victim = self._queue.victim(waiter.priority, waiter.user)
         if victim is None:
-            raise self._refusal(wait_s)
+            raise self._refusal(waiter, wait_s)
         self._refuse(victim, wait_s)
 
     def _shed(self) -> None:
@@ -201,9 +204,10 @@
     def _refuse(self, waiter: Waiter, wait_s: float) -> None:
         self._queue.remove(waiter)
         if not waiter.granted.done():
-            waiter.granted.set_exception(self._refusal(wait_s))
+            waiter.granted.set_exception(self._refusal(waiter, wait_s))
 
-    def _refusal(self, wait_s: float) -> OverloadedError:
+    def _refusal(self, waiter: Waiter, wait_s: float) -> OverloadedError:
+        REFUSED.labels(self._name, waiter.priority.name.lower()).inc()
         retry_after_ms = max(int(wait_s * MS_PER_S), LEAST_RETRY_MS)
         return OverloadedError(
             f"{self._name} has no room in time", retry_after_ms=retry_after_ms
--- a/src/heatherpier/reads/_reader.py
+++ b/src/heatherpier/reads/_reader.py
@@ -8,6 +8,7 @@
 from heatherpier.reads._candidates import order_instances
 from heatherpier.reads._freshness import freshness_of
 from heatherpier.reads._knowledge import GroupKnowledge
+from heatherpier.reads._metrics import READS, READS_GIVEN_UP
 from heatherpier.reads._outcomes import (
     Failure,
     Rejected,
@@ -16,9 +17,11 @@
     final_error,
     may_improve,
 )
-from heatherpier.requests import Answer, Request
+from heatherpier.requests import Answer, FinalError, Request
+from heatherpier.telemetry import get_logger
 from heatherpier.timers import Timers
 
+log = get_logger("reads")
 # While other instances can still be asked, one gets this share of the time left.
 TRY_SHARE = 0.5
 
@@ -78,13 +81,31 @@
             rounds += 1
             outcome = await self._round(attempt, budget, rounds=rounds)
             if isinstance(outcome, Answer):
+                role = "replica" if outcome.replica else "primary"
+                READS.labels(group.spec.name, role).inc()
                 return outcome
             delay_s = self._backoff.delay_s(rounds)
             late = self._timers.now() + delay_s >= req.deadline
             if late or not may_improve(outcome, group.spec):
-                raise final_error(outcome, group=req.group)
+                raise self._give_up(req, outcome, rounds=rounds)
             await self._timers.sleep(delay_s)
 
+    def _give_up(
+        self, req: Request, failures: list[Failure], *, rounds: int
+    ) -> FinalError:
+        error = final_error(failures, group=req.group)
+        READS_GIVEN_UP.labels(req.group, error.label).inc()
+        log.info(
+            "read given up",
+            group=req.group,
+            answer=error.label,
+            reason=error.reason,
+            rounds=rounds,
+            session=req.session,
+            trace=req.trace,
+        )
+        return error
+
     async def _round(
         self, attempt: Attempt, budget: RetryBudget, *, rounds: int
     ) -> Answer | list[Failure]:
