--- a/src/heatherpier/reads/_reader.py
+++ b/src/heatherpier/reads/_reader.py
@@ -33,7 +33,7 @@
         timers: Timer service.
         data_centre: Data centre of this proxy; its replicas are asked first.
         rng: Spreads the delays between rounds.
-        admission: Gives places on instances.
+        admission: Gives places on instances; by default one of its own.
     """
 
     def __init__(
@@ -42,11 +42,11 @@
         timers: Timers,
         data_centre: str,
         rng: RandomSource,
-        admission: Admission,
+        admission: Admission | None = None,
     ) -> None:
         self._timers = timers
         self._data_centre = data_centre
-        self._admission = admission
+        self._admission = admission or Admission(timers=timers)
         self._backoff = Backoff(rng=rng)
         self._budgets: WeakKeyDictionary[Group, RetryBudget] = WeakKeyDictionary()
         self._knowledge: WeakKeyDictionary[Group, GroupKnowledge] = WeakKeyDictionary()
