--- a/src/heatherpier/reads/tests/test_reader.py
+++ b/src/heatherpier/reads/tests/test_reader.py
@@ -1,12 +1,16 @@
 """Where reads go, and what callers are told when no instance may serve them."""
 
+import contextlib
 import dataclasses
 
 import pytest
 
 from heatherpier.groups import LogPosition
+from heatherpier.limits import Use
 from heatherpier.requests import (
     NotRunError,
+    OverloadedError,
+    Priority,
     StatementRejectedError,
     TooStaleError,
 )
@@ -164,3 +168,32 @@
     near.faults.slow_ms = 1200
     answer = await desk.read(max_age_ms=1000)
     assert answer.instance != near.name
+
+
+async def test_read_on_a_full_group_is_refused_at_once(field):
+    desk = await ready(field)
+    async with contextlib.AsyncExitStack() as stack:
+        for instance in field.memory.instances:
+            for _ in range(3):
+                place = desk.reader._admission.admit(
+                    instance.name, priority=Priority.WRITE, deadline=60
+                )
+                await stack.enter_async_context(place)
+        began = field.timers.now()
+        with pytest.raises(OverloadedError) as caught:
+            await desk.read(floor=LogPosition(1, 3), within_s=0.01)
+        assert caught.value.retry_after_ms
+        assert field.timers.now() - began <= 0.01
+
+
+async def test_transaction_is_not_begun_on_a_full_primary(field):
+    desk = await ready(field)
+    primary = field.memory.instances[0].name
+    async with contextlib.AsyncExitStack() as stack:
+        for _ in range(3):
+            place = desk.reader._admission.admit(
+                primary, priority=Priority.WRITE, deadline=60, use=Use.WRITE
+            )
+            await stack.enter_async_context(place)
+        with pytest.raises(OverloadedError):
+            await desk.run("BEGIN", deadline_ms="500")
--- a/src/heatherpier/writes/_begin.py
+++ b/src/heatherpier/writes/_begin.py
@@ -4,7 +4,7 @@
 from random import Random
 
 from heatherpier.groups import Group, GroupError, InstanceStatus, wait_for_position
-from heatherpier.limits import Backoff
+from heatherpier.limits import Admission, Backoff, Use
 from heatherpier.requests import NotRunError, Request
 from heatherpier.timers import Timers
 from heatherpier.upstreams import (
@@ -29,13 +29,20 @@
     Args:
         timers: Timer service.
         rng: Random source for retry delays.
+        admission: Gives places on instances.
         idle_limit_s: Longest time in seconds between two statements.
     """
 
     def __init__(
-        self, *, timers: Timers, rng: Random, idle_limit_s: float = IDLE_LIMIT_S
+        self,
+        *,
+        timers: Timers,
+        rng: Random,
+        admission: Admission,
+        idle_limit_s: float = IDLE_LIMIT_S,
     ) -> None:
         self._timers = timers
+        self._admission = admission
         self._backoff = Backoff(rng=rng)
         self._idle_limit_s = idle_limit_s
 
@@ -45,6 +52,7 @@
         Raises:
             ReadOnlyError: The group has no primary.
             NotRunError: None could be opened by the deadline.
+            OverloadedError: Its turn would come too late.
         """
         tries = 0
         while True:
@@ -53,7 +61,14 @@
                 group, timers=self._timers, deadline=req.deadline
             )
             try:
-                return await self._open(group, req, primary, read_only=read_only)
+                async with self._admission.admit(
+                    primary.instance,
+                    priority=req.priority,
+                    deadline=req.deadline,
+                    user=req.user,
+                    use=Use.WRITE,
+                ):
+                    return await self._open(group, req, primary, read_only=read_only)
             except (UpstreamError, GroupError, AttemptLostError) as exc:
                 self._report(group, primary.instance, exc)
                 delay_s = self._backoff.delay_s(tries)
--- a/src/heatherpier/writes/_writer.py
+++ b/src/heatherpier/writes/_writer.py
@@ -37,17 +37,18 @@
         idle_limit_s: float = IDLE_LIMIT_S,
         admission: Admission | None = None,
     ) -> None:
+        admission = admission or Admission(timers=timers)
         resolver = Resolver(timers=timers, rng=rng)
         self._single = SingleWriter(
             timers=timers,
             keys=keys,
             resolver=resolver,
             rng=rng,
-            admission=admission or Admission(timers=timers),
+            admission=admission,
         )
         self._committer = Committer(timers=timers, keys=keys, resolver=resolver)
         self._opener = TransactionOpener(
-            timers=timers, rng=rng, idle_limit_s=idle_limit_s
+            timers=timers, rng=rng, admission=admission, idle_limit_s=idle_limit_s
         )
 
         self._pruner = Pruner(timers=timers, rng=rng, retention_ms=keys.retention_ms)
