Set the idle limit of transactions for each service

Cause: 30 s between two statements held for all services alike.

Change: transaction_idle_ms of a service, 100 ms to 1 h. A busy pool no longer has the primary probed.

--- a/src/heatherpier/_proxy.py
+++ b/src/heatherpier/_proxy.py
@@ -122,6 +122,7 @@
             signer=self._signer,
             timers=self._timers,
             deadline_ms=service.deadline_ms,
+            transaction_idle_ms=service.transaction_idle_ms,
             max_age_ms=service.max_age_ms,
             user=user,
         )
--- a/src/heatherpier/_session.py
+++ b/src/heatherpier/_session.py
@@ -35,6 +35,7 @@
 
 VAR_STRING = 253
 MS_PER_S = 1000
+TRANSACTION_IDLE_MS = 30_000
 
 
 class Session:
@@ -47,6 +48,8 @@
         signer: Reads and writes session tokens.
         timers: Timer service.
         deadline_ms: Time in milliseconds that a statement may take.
+        transaction_idle_ms: Longest time in milliseconds between two statements of
+            a transaction.
         max_age_ms: Age in milliseconds that reads accept, or None for reads
             that must see the session's writes.
         user: User name of the caller.
@@ -61,6 +64,7 @@
         signer: TokenSigner,
         timers: Timers,
         deadline_ms: int,
+        transaction_idle_ms: int = TRANSACTION_IDLE_MS,
         max_age_ms: int | None = None,
         user: str = "",
     ) -> None:
@@ -73,7 +77,9 @@
         self._defaults = SessionHints(deadline_ms=deadline_ms, max_age_ms=max_age_ms)
         self._hints = SessionHints()
         self._floors = SessionFloors()
-        self._transactions = writer.open_caller(on_commit=self._take)
+        self._transactions = writer.open_caller(
+            on_commit=self._take, idle_limit_s=transaction_idle_ms / MS_PER_S
+        )
 
     @property
     def in_transaction(self) -> bool:
--- a/src/heatherpier/bench/_write_cost.py
+++ b/src/heatherpier/bench/_write_cost.py
@@ -122,7 +122,9 @@
         )
 
     async def transaction(self, number: int) -> None:
-        caller = self._writer.open_caller(on_commit=lambda answer, group: None)
+        caller = self._writer.open_caller(
+            on_commit=lambda answer, group: None, idle_limit_s=DEADLINE_S
+        )
         req = self._request("BEGIN", None)
         await caller.begin(self._group, req, read_only=False)
         for _ in range(2):
--- a/src/heatherpier/settings/_document.py
+++ b/src/heatherpier/settings/_document.py
@@ -61,6 +61,8 @@
         slots: Statements that an instance runs at once.
         connections: Connections that an instance accepts.
         deadline_ms: Time in milliseconds that a statement may take.
+        transaction_idle_ms: Longest time in milliseconds between two statements of
+            a transaction; it is rolled back after that.
         max_age_ms: Age in milliseconds that reads accept, or None for reads
             that must see the session's writes.
     """
@@ -71,6 +73,7 @@
     slots: Annotated[int, Field(ge=1, le=1024)] = 3
     connections: Annotated[int, Field(ge=1, le=65536)] = 20
     deadline_ms: Annotated[int, Field(ge=10, le=600_000)] = 5000
+    transaction_idle_ms: Annotated[int, Field(ge=100, le=3_600_000)] = 30_000
     max_age_ms: Annotated[int, Field(ge=0, le=86_400_000)] | None = None
 
 
--- a/src/heatherpier/writes/_begin.py
+++ b/src/heatherpier/writes/_begin.py
@@ -18,7 +18,6 @@
 from heatherpier.writes._primary import RETRY_AFTER_MS, find_primary
 from heatherpier.writes._transaction import Transaction
 
-IDLE_LIMIT_S = 30.0
 # Longest wait for the primary to hold the session's floor, in seconds.
 FLOOR_WAIT_S = 0.5
 
@@ -29,19 +28,23 @@
     Args:
         timers: Timer service.
         rng: Random source for retry delays.
-        idle_limit_s: Longest time in seconds between two statements.
     """
 
-    def __init__(
-        self, *, timers: Timers, rng: Random, idle_limit_s: float = IDLE_LIMIT_S
-    ) -> None:
+    def __init__(self, *, timers: Timers, rng: Random) -> None:
         self._timers = timers
         self._backoff = Backoff(rng=rng)
-        self._idle_limit_s = idle_limit_s
 
-    async def open(self, group: Group, req: Request, *, read_only: bool) -> Transaction:
+    async def open(
+        self, group: Group, req: Request, *, read_only: bool, idle_limit_s: float
+    ) -> Transaction:
         """Opens a transaction; nothing has run where this fails.
 
+        Args:
+            group: Group that it runs on.
+            req: The statement that opens it.
+            read_only: Whether it changes nothing.
+            idle_limit_s: Longest time in seconds between two statements.
+
         Raises:
             ReadOnlyError: The group has no primary.
             NotRunError: None could be opened by the deadline.
@@ -53,7 +56,13 @@
                 group, timers=self._timers, deadline=req.deadline
             )
             try:
-                return await self._open(group, req, primary, read_only=read_only)
+                return await self._open(
+                    group,
+                    req,
+                    primary,
+                    read_only=read_only,
+                    idle_limit_s=idle_limit_s,
+                )
             except (UpstreamError, GroupError, AttemptLostError) as exc:
                 self._report(group, primary.instance, exc)
                 delay_s = self._backoff.delay_s(tries)
@@ -62,13 +71,22 @@
             await self._timers.sleep(delay_s)
 
     def _report(self, group: Group, name: str, exc: Exception) -> None:
-        if isinstance(exc, ConnectError) and not isinstance(exc, PoolBusyError):
-            group.report_failure(name)
-        else:
-            group.suspect(name)
+        match exc:
+            case PoolBusyError():
+                return
+            case ConnectError():
+                group.report_failure(name)
+            case _:
+                group.suspect(name)
 
     async def _open(
-        self, group: Group, req: Request, primary: InstanceStatus, *, read_only: bool
+        self,
+        group: Group,
+        req: Request,
+        primary: InstanceStatus,
+        *,
+        read_only: bool,
+        idle_limit_s: float,
     ) -> Transaction:
         left = req.deadline - self._timers.now()
         async with AsyncExitStack() as stack:
@@ -83,7 +101,7 @@
                 conn,
                 stack.pop_all(),
                 timers=self._timers,
-                idle_limit_s=self._idle_limit_s,
+                idle_limit_s=idle_limit_s,
             )
 
     async def _require_floor(self, conn: PooledConnection, req: Request) -> None:
--- a/src/heatherpier/writes/_caller.py
+++ b/src/heatherpier/writes/_caller.py
@@ -29,6 +29,7 @@
         committer: Commits them.
         writer: Runs statements that commit by themselves.
         on_commit: Takes in the answer of every commit, implicit ones too.
+        idle_limit_s: Longest time in seconds between two statements.
 
     Attributes:
         autocommit: Whether a statement outside a transaction commits by itself.
@@ -41,11 +42,13 @@
         committer: Committer,
         writer: SingleWriter,
         on_commit: Callable[[Answer, Group], object],
+        idle_limit_s: float,
     ) -> None:
         self._opener = opener
         self._committer = committer
         self._writer = writer
         self._on_commit = on_commit
+        self._idle_limit_s = idle_limit_s
         self._open: _Open | None = None
         self.autocommit = True
 
@@ -67,7 +70,9 @@
         """
         await self._commit_implicitly(req)
         record = await self._committer.prepare(group, req)
-        transaction = await self._opener.open(group, req, read_only=read_only)
+        transaction = await self._opener.open(
+            group, req, read_only=read_only, idle_limit_s=self._idle_limit_s
+        )
         self._open = _Open(transaction=transaction, record=record)
 
     async def execute(self, group: Group, req: Request, *, changes: bool) -> Answer:
--- a/src/heatherpier/writes/_writer.py
+++ b/src/heatherpier/writes/_writer.py
@@ -7,7 +7,7 @@
 from heatherpier.limits import Admission
 from heatherpier.requests import Answer, Request
 from heatherpier.timers import Timers
-from heatherpier.writes._begin import IDLE_LIMIT_S, TransactionOpener
+from heatherpier.writes._begin import TransactionOpener
 from heatherpier.writes._caller import CallerTransactions
 from heatherpier.writes._commit import Committer
 from heatherpier.writes._keys import KeyMaker
@@ -23,8 +23,6 @@
         timers: Timer service.
         keys: Makes and checks idempotency keys.
         rng: Random source for retry delays.
-        idle_limit_s: Longest time in seconds between two statements of a
-            transaction.
         admission: Gives places on instances; by default one of its own.
     """
 
@@ -34,7 +32,6 @@
         timers: Timers,
         keys: KeyMaker,
         rng: Random,
-        idle_limit_s: float = IDLE_LIMIT_S,
         admission: Admission | None = None,
     ) -> None:
         resolver = Resolver(timers=timers, rng=rng)
@@ -46,10 +43,7 @@
             admission=admission or Admission(timers=timers),
         )
         self._committer = Committer(timers=timers, keys=keys, resolver=resolver)
-        self._opener = TransactionOpener(
-            timers=timers, rng=rng, idle_limit_s=idle_limit_s
-        )
-
+        self._opener = TransactionOpener(timers=timers, rng=rng)
         self._pruner = Pruner(timers=timers, rng=rng, retention_ms=keys.retention_ms)
 
     def start_pruning(self, group: Group) -> None:
@@ -65,16 +59,22 @@
         return await self._single.execute(group, req)
 
     def open_caller(
-        self, *, on_commit: Callable[[Answer, Group], object]
+        self,
+        *,
+        on_commit: Callable[[Answer, Group], object],
+        idle_limit_s: float,
     ) -> CallerTransactions:
         """Returns the transactions of a new caller, none of them open.
 
         Args:
             on_commit: Takes in the answer of every commit.
+            idle_limit_s: Longest time in seconds between two statements of a
+                transaction.
         """
         return CallerTransactions(
             opener=self._opener,
             committer=self._committer,
             writer=self._single,
             on_commit=on_commit,
+            idle_limit_s=idle_limit_s,
         )
--- a/src/heatherpier/writes/tests/conftest.py
+++ b/src/heatherpier/writes/tests/conftest.py
@@ -129,7 +129,8 @@
         self.proxy = proxy
         self.commits = []
         self.transactions = proxy.writer.open_caller(
-            on_commit=lambda answer, group: self.commits.append(answer)
+            on_commit=lambda answer, group: self.commits.append(answer),
+            idle_limit_s=30,
         )
 
     async def begin(self, *, read_only=False, **fields):
--- a/src/heatherpier/writes/tests/test_session.py
+++ b/src/heatherpier/writes/tests/test_session.py
@@ -34,6 +34,7 @@
         signer=signer,
         timers=timers,
         deadline_ms=4000,
+        transaction_idle_ms=2000,
     )
 
     async def run(sql):
@@ -108,6 +109,14 @@
     assert bench.runs("linh") == 1
 
 
+async def test_idle_limit_of_the_service_ends_a_transaction(run, timers):
+    await run("BEGIN")
+    await timers.sleep(2.1)
+    assert flags(run) == (False, True)
+    with pytest.raises(NotRunError, match="no statement came for 2 s"):
+        await run(CALL)
+
+
 async def test_end_of_the_session_rolls_back(bench, run):
     await run("BEGIN")
     await run(CALL)
