Deny a write under a caller's key only where no try of it can have run

Cause: 'not run' spoke of one try. A try also went on as the next attempt after another one had refused it and told so.

Ruled out: a hint that tells first tries from repeats, which callers would have to get right.

Change: a caller's key counts as unsettled from the start. A try that gives up refuses the attempt and waits for a majority, or says 'outcome unknown' with the key. A try that has begun takes no later attempt's number.

--- a/src/heatherpier/writes/_single.py
+++ b/src/heatherpier/writes/_single.py
@@ -10,8 +10,10 @@
     FinalError,
     NotRunError,
     OutcomeUnknownError,
+    ReadOnlyError,
     RefusedError,
     Request,
+    StatementRejectedError,
 )
 from heatherpier.telemetry import get_logger
 from heatherpier.timers import Timers
@@ -104,12 +106,18 @@
         Running it again needs no refusal: two runs of one attempt conflict on
         the record's primary key, so the database commits at most one of them.
         """
-        unknown = False
+        # An earlier try of a caller's key may have run, or may still run.
+        unknown = req.key is not None
         tries = 0
         while True:
             tries += 1
             try:
                 return await self._runner.run(group, req, record)
+            except StatementRejectedError as exc:
+                # A caller's key was claimed before the statement was rejected, so
+                # no other try had it.
+                settled = not unknown or req.key is not None
+                return await self._end(group, req, record, exc, unknown=not settled)
             except FinalError as exc:
                 return await self._end(group, req, record, exc, unknown=unknown)
             except AttemptLostError as exc:
@@ -123,11 +131,15 @@
                 found = await self._look_up(group, req, record)
                 if isinstance(found, Ran):
                     return _answer(found)
+                began = tries > 1 or isinstance(exc, CommitUnknownError)
+                if began and found.attempt > record.attempt:
+                    final = _not_run("another try of the key refused this one")
+                    return await self._end(group, req, record, final, unknown=True)
                 record = record.numbered(found.attempt)
             log.info("write interrupted", key=record.key, reason=str(reason))
             delay_s = self._backoff.delay_s(tries)
             if req.deadline - self._timers.now() <= REFUSAL_RESERVE_S + delay_s:
-                final = _not_run(reason)
+                final = _not_run(str(reason))
                 return await self._end(group, req, record, final, unknown=unknown)
             await self._timers.sleep(delay_s)
 
@@ -137,7 +149,7 @@
         try:
             return await self._resolver.look_up(group, record, deadline=req.deadline)
         except UnresolvedError as exc:
-            raise _outcome_unknown(record, exc) from exc
+            raise _outcome_unknown(record, str(exc)) from exc
 
     async def _create_table(self, group: Group, req: Request) -> None:
         try:
@@ -157,10 +169,12 @@
         """Raises the final answer once no commit of the key is unsettled."""
         if not unknown:
             raise final
+        if isinstance(final, ReadOnlyError):
+            raise _outcome_unknown(record, final.reason) from final
         try:
             found = await self._resolver.refuse(group, record, deadline=req.deadline)
         except UnresolvedError as exc:
-            raise _outcome_unknown(record, exc) from exc
+            raise _outcome_unknown(record, str(exc)) from exc
         if isinstance(found, Ran):
             return _answer(found)
         raise final
@@ -182,9 +196,9 @@
     )
 
 
-def _not_run(reason: Exception) -> NotRunError:
-    return NotRunError(str(reason), retry_after_ms=RETRY_AFTER_MS)
+def _not_run(reason: str) -> NotRunError:
+    return NotRunError(reason, retry_after_ms=RETRY_AFTER_MS)
 
 
-def _outcome_unknown(record: RequestRecord, exc: Exception) -> OutcomeUnknownError:
-    return OutcomeUnknownError(str(exc), key=record.key, retry_after_ms=RETRY_AFTER_MS)
+def _outcome_unknown(record: RequestRecord, reason: str) -> OutcomeUnknownError:
+    return OutcomeUnknownError(reason, key=record.key, retry_after_ms=RETRY_AFTER_MS)
--- a/src/heatherpier/writes/tests/conftest.py
+++ b/src/heatherpier/writes/tests/conftest.py
@@ -102,6 +102,7 @@
     writer: Writer
     connector: TrapConnector
     rng: random.Random
+    last_error: Exception | None = None
 
     def trap(self, fault, prefix, *, after=False):
         """Springs ``fault`` when this proxy sends a statement."""
--- a/src/heatherpier/writes/tests/test_faults.py
+++ b/src/heatherpier/writes/tests/test_faults.py
@@ -62,6 +62,7 @@
     try:
         await proxy.write(sql, **fields)
     except FinalError as exc:
+        proxy.last_error = exc
         return type(exc)
     return None
 
@@ -119,7 +120,7 @@
 @pytest.mark.parametrize(
     ("fault", "moment", "expected"),
     [
-        (traps.lose_majority, "before BEGIN", ReadOnlyError),
+        (traps.lose_majority, "before the statement", ReadOnlyError),
         (traps.lose_majority, "after the statement", ReadOnlyError),
         (traps.lose_majority, "at COMMIT after the effect", OutcomeUnknownError),
         (traps.lose_majority, "during acknowledgement", None),
@@ -130,14 +131,52 @@
 )
 async def test_write_that_can_not_go_on_gets_the_truth(
     bench, proxy, fault, moment, expected
+):
+    prefix, after = MOMENTS_WITHOUT_KEY[moment]
+    proxy.trap(fault, prefix, after=after)
+    outcome = await outcome_of(proxy)
+    assert outcome is expected
+    key = proxy.last_error.key if outcome is OutcomeUnknownError else None
+    await check_promises(bench, outcome, key=key)
+
+
+@pytest.mark.parametrize("fault", [traps.lose_majority, traps.stop_replication])
+@pytest.mark.parametrize("moment", ["before BEGIN", "after the statement"])
+async def test_callers_key_that_can_not_be_settled_is_unknown(
+    bench, proxy, fault, moment
 ):
     prefix, after = MOMENTS[moment]
     proxy.trap(fault, prefix, after=after)
     outcome = await outcome_of(proxy, key="call-1")
-    assert outcome is expected
+    assert outcome is OutcomeUnknownError
     await check_promises(bench, outcome, key="call-1")
 
 
+async def test_second_try_without_a_primary_does_not_deny_the_first(bench, proxy):
+    await proxy.write(CALL, key="call-1")
+    await traps.lose_majority(bench, None)
+    assert await outcome_of(proxy, key="call-1") is OutcomeUnknownError
+
+
+async def test_try_that_another_one_refused_does_not_run_later(bench, proxy, timers):
+    for _ in range(2):
+        proxy.trap(traps.reset, "COMMIT")
+    first = asyncio.create_task(outcome_of(proxy, key="call-1"))
+    while not any(trap.sprung for trap in proxy.connector.traps):
+        await timers.sleep(0.001)
+    other = await bench.proxy("proxy-2", seed=8)
+    record = _single.RequestRecord(
+        key="call-1",
+        attempt=1,
+        fingerprint=_single.fingerprint_of("assist-core-1", [CALL]),
+        state=_single.RecordState.RUN,
+    )
+    resolver = _resolver.Resolver(timers=timers, rng=other.rng)
+    await resolver.refuse(other.group, record, deadline=timers.now() + 2)
+    assert await first is NotRunError
+    await check_promises(bench, NotRunError)
+
+
 async def test_hopeless_write_is_answered_long_before_its_deadline(
     bench, proxy, timers
 ):
