Settle a caller's key before its lost transaction is answered

Cause: a second transaction of a key that was lost before COMMIT got 'not run' although the first one's COMMIT could still arrive, or had.

Ruled out: a refusal at each BEGIN with a key, one acknowledged write more for every keyed transaction.

Change: where a keyed transaction ends without COMMIT, its attempt is refused before the caller is told, and the answer stands for its further statements. 300 ms of each deadline are kept for that.

After: the fault table of transactions runs with and without a caller's key; a late COMMIT behind a lost second transaction is told as already run.

--- a/src/heatherpier/writes/_attempt.py
+++ b/src/heatherpier/writes/_attempt.py
@@ -26,6 +26,8 @@
 
 # Longest wait for the answer to a control statement, in seconds.
 CONTROL_TIMEOUT_S = 1.0
+# Time before the deadline that is kept for the refusal of an attempt, in seconds.
+REFUSAL_RESERVE_S = 0.3
 
 
 class ServerError(IntEnum):
--- a/src/heatherpier/writes/_begin.py
+++ b/src/heatherpier/writes/_begin.py
@@ -13,7 +13,7 @@
     PooledConnection,
     UpstreamError,
 )
-from heatherpier.writes._attempt import begin, control_limit_s
+from heatherpier.writes._attempt import REFUSAL_RESERVE_S, begin, control_limit_s
 from heatherpier.writes._errors import AttemptLostError
 from heatherpier.writes._primary import RETRY_AFTER_MS, find_primary
 from heatherpier.writes._transaction import Transaction
@@ -102,6 +102,7 @@
                 stack.pop_all(),
                 timers=self._timers,
                 idle_limit_s=idle_limit_s,
+                reserve_s=0.0 if req.key is None else REFUSAL_RESERVE_S,
             )
 
     async def _require_floor(self, conn: PooledConnection, req: Request) -> None:
--- a/src/heatherpier/writes/_caller.py
+++ b/src/heatherpier/writes/_caller.py
@@ -4,7 +4,14 @@
 from dataclasses import dataclass, replace
 
 from heatherpier.groups import Group
-from heatherpier.requests import Answer, RefusedError, Request
+from heatherpier.requests import (
+    Answer,
+    FinalError,
+    NotRunError,
+    ReadOnlyError,
+    RefusedError,
+    Request,
+)
 from heatherpier.writes._begin import TransactionOpener
 from heatherpier.writes._commit import Committer
 from heatherpier.writes._kinds import Standalone, Uncarried, kind_of
@@ -15,10 +22,17 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class _Open:
-    """A transaction with the record that its commit will insert."""
+    """A transaction with the record that its commit will insert.
+
+    Attributes:
+        transaction: The transaction.
+        record: The record.
+        keyed: Whether its key is the caller's.
+    """
 
     transaction: Transaction
     record: RequestRecord
+    keyed: bool
 
 
 class CallerTransactions:
@@ -70,10 +84,16 @@
         """
         await self._commit_implicitly(req)
         record = await self._committer.prepare(group, req)
-        transaction = await self._opener.open(
-            group, req, read_only=read_only, idle_limit_s=self._idle_limit_s
-        )
-        self._open = _Open(transaction=transaction, record=record)
+        keyed = req.key is not None
+        try:
+            transaction = await self._opener.open(
+                group, req, read_only=read_only, idle_limit_s=self._idle_limit_s
+            )
+        except (NotRunError, ReadOnlyError) as exc:
+            if not keyed:
+                raise
+            raise await self._committer.deny(group, record, req, exc) from exc
+        self._open = _Open(transaction=transaction, record=record, keyed=keyed)
 
     async def execute(self, group: Group, req: Request, *, changes: bool) -> Answer:
         """Runs one statement inside the transaction, opening one if none is open.
@@ -95,8 +115,7 @@
             return await self._writer.execute(group, replace(req, key=None))
         if self._open is None:
             await self.begin(group, req, read_only=False)
-        transaction = self._require_open(req)
-        return await transaction.execute(req, changes=changes)
+        return await self._run(req, changes=changes)
 
     async def mark(self, req: Request) -> Answer:
         """Sets, drops or returns to a savepoint.
@@ -104,14 +123,31 @@
         Raises:
             FinalError: The final answer is not a result.
         """
-        return await self._require_open(req).execute(req, changes=True)
+        return await self._run(req, changes=True)
+
+    async def _run(self, req: Request, *, changes: bool) -> Answer:
+        opened = self._require_open(req)
+        try:
+            return await opened.transaction.execute(req, changes=changes)
+        except NotRunError as exc:
+            raise await self._final(opened, req, exc) from exc
+
+    async def _final(self, opened: _Open, req: Request, exc: NotRunError) -> FinalError:
+        """Returns what a lost transaction is answered with from now on."""
+        transaction = opened.transaction
+        if not opened.keyed or transaction.final is not None:
+            return exc
+        transaction.final = await self._committer.deny(
+            transaction.group, opened.record, req, exc
+        )
+        return transaction.final
 
-    def _require_open(self, req: Request) -> Transaction:
+    def _require_open(self, req: Request) -> _Open:
         if self._open is None:
             raise RefusedError("no transaction is open")
         if req.key not in (None, self._open.record.key):
             raise RefusedError(f"key {req.key!r} must come with BEGIN or COMMIT")
-        return self._open.transaction
+        return self._open
 
     async def commit(self, req: Request) -> None:
         """Commits the open transaction, if any.
@@ -123,8 +159,17 @@
         if self._open is None:
             return
         ended, self._open = self._open, None
-        answer = await self._committer.commit(ended.transaction, ended.record, req)
-        self._on_commit(answer, ended.transaction.group)
+        transaction, record = ended.transaction, ended.record
+        key = req.key or (record.key if ended.keyed else None)
+        try:
+            answer = await self._committer.commit(
+                transaction, record, replace(req, key=key)
+            )
+        except NotRunError as exc:
+            if transaction.lost is None:
+                raise
+            raise await self._final(ended, req, exc) from exc
+        self._on_commit(answer, transaction.group)
 
     async def rollback(self) -> None:
         """Ends the open transaction, if any, without effect."""
--- a/src/heatherpier/writes/_commit.py
+++ b/src/heatherpier/writes/_commit.py
@@ -4,12 +4,15 @@
 from heatherpier.requests import (
     AlreadyRunError,
     Answer,
+    FinalError,
     NotRunError,
     OutcomeUnknownError,
+    ReadOnlyError,
+    RefusedError,
     Request,
 )
 from heatherpier.timers import Timers
-from heatherpier.upstreams import PooledConnection, Result, UpstreamError
+from heatherpier.upstreams import Result, UpstreamError
 from heatherpier.writes._attempt import (
     CONTROL_TIMEOUT_S,
     Committed,
@@ -26,6 +29,7 @@
 from heatherpier.writes._keys import KeyMaker
 from heatherpier.writes._primary import RETRY_AFTER_MS
 from heatherpier.writes._records import (
+    UNKNOWN_FINGERPRINT,
     RecordState,
     RequestRecord,
     find_record,
@@ -34,9 +38,6 @@
 from heatherpier.writes._resolver import Free, Ran, Resolver
 from heatherpier.writes._transaction import Transaction
 
-# Stands for the statements of a transaction that has run none yet.
-UNKNOWN_FINGERPRINT = ""
-
 
 class Committer:
     """Keys transactions and commits them.
@@ -59,20 +60,19 @@
         Raises:
             RefusedError: The caller's key has a wrong form or is too old.
             AlreadyRunError: A transaction with the caller's key has committed.
-            NotRunError: Whether it has can't be told by the deadline.
+            NotRunError: The table of records can't be made by the deadline.
+            OutcomeUnknownError: Whether the key has run can't be told by then.
         """
+        record = self._record(req)
         try:
             await self._create_table(group, req)
         except UnresolvedError as exc:
+            if req.key is not None:
+                raise _outcome_unknown(record, exc) from exc
             raise _not_run(exc) from exc
-        record = self._record(req)
         if req.key is None:
             return record
-        try:
-            found = await self._resolver.look_up(group, record, deadline=req.deadline)
-        except UnresolvedError as exc:
-            raise _not_run(exc) from exc
-        match found:
+        match await self._look_up(group, record, req):
             case Free(attempt=attempt):
                 return record.numbered(attempt)
             case Ran():
@@ -101,6 +101,32 @@
         await self._resolver.create_table(group, deadline=req.deadline)
         self._prepared.add(name)
 
+    async def deny(
+        self, group: Group, record: RequestRecord, req: Request, final: FinalError
+    ) -> FinalError:
+        """Returns the answer to a caller whose keyed transaction did not run.
+
+        An earlier try of the key may have run, or its COMMIT may still arrive, so
+        the attempt is refused before the caller is told.
+
+        Args:
+            group: Group of the transaction.
+            record: Record of its attempt.
+            req: The statement that is answered.
+            final: What this try alone would be answered.
+        """
+        if isinstance(final, ReadOnlyError):
+            return _outcome_unknown(record, final)
+        try:
+            found = await self._resolver.refuse(group, record, deadline=req.deadline)
+        except UnresolvedError as exc:
+            return _outcome_unknown(record, exc)
+        except RefusedError as exc:
+            return exc
+        if isinstance(found, Ran):
+            return AlreadyRunError(f"a transaction with key {record.key!r} committed")
+        return final
+
     async def commit(
         self, transaction: Transaction, record: RequestRecord, req: Request
     ) -> Answer:
@@ -113,19 +139,42 @@
         """
         transaction.require_open()
         transaction.stop_watch()
+        if req.key not in (None, record.key):
+            record = await self._rekey(transaction, req)
+        fingerprint = fingerprint_of(
+            transaction.group.spec.name, transaction.statements
+        )
+        record = record.with_fingerprint(fingerprint)
         try:
             if not transaction.statements:
                 return await self._commit_reads(transaction, req)
-            if req.key not in (None, record.key):
-                record = self._record(req)
-            fingerprint = fingerprint_of(
-                transaction.group.spec.name, transaction.statements
-            )
-            record = record.with_fingerprint(fingerprint)
             return await self._commit_writes(transaction, record, req)
+        except NotRunError as exc:
+            if req.key is None:
+                raise
+            await transaction.release()
+            raise await self.deny(transaction.group, record, req, exc) from exc
         finally:
             await transaction.release()
 
+    async def _rekey(self, transaction: Transaction, req: Request) -> RequestRecord:
+        """Returns the record of a key that came with COMMIT.
+
+        The transaction's own connection tells the number of the attempt, as the
+        pool may have no other.
+        """
+        record = self._record(req)
+        try:
+            known = await find_record(
+                transaction.conn, record.key, timeout_s=CONTROL_TIMEOUT_S
+            )
+        except (UpstreamError, GroupError) as exc:
+            await transaction.release()
+            raise _outcome_unknown(record, exc) from exc
+        if known is None or known.state is RecordState.RUN:
+            return record
+        return record.numbered(known.attempt + 1)
+
     async def _commit_reads(self, transaction: Transaction, req: Request) -> Answer:
         conn = transaction.conn
         try:
@@ -144,9 +193,7 @@
     ) -> Answer:
         group, conn = transaction.group, transaction.conn
         try:
-            if req.key == record.key and record.attempt == 1:
-                record = await _next_attempt(conn, record)
-            left = req.deadline - self._timers.now()
+            left = req.deadline - self._timers.now() - transaction.reserve_s
             await claim_attempt(conn, record, timers=self._timers, timeout_s=left)
             committed = await commit(
                 conn, Result(), timers=self._timers, deadline=req.deadline
@@ -205,20 +252,6 @@
         raise _not_run(reason)
 
 
-async def _next_attempt(conn: PooledConnection, record: RequestRecord) -> RequestRecord:
-    """Numbers the attempt of a key that came with COMMIT.
-
-    The transaction's own connection tells, as the pool may have no other.
-    """
-    try:
-        known = await find_record(conn, record.key, timeout_s=CONTROL_TIMEOUT_S)
-    except (UpstreamError, GroupError) as exc:
-        raise AttemptLostError(str(exc)) from exc
-    if known is None or known.state is RecordState.RUN:
-        return record
-    return record.numbered(known.attempt + 1)
-
-
 def _answer(found: Ran) -> Answer:
     return Answer(
         result=Result(),
--- a/src/heatherpier/writes/_records.py
+++ b/src/heatherpier/writes/_records.py
@@ -22,6 +22,8 @@
     "KEY created (created_ms))"
 )
 FINGERPRINT_CHARS = 32
+# Stands for the statements of a transaction that is not complete.
+UNKNOWN_FINGERPRINT = ""
 # Count of a statement that answered with rows, which are not kept.
 ROWS_NOT_KEPT = -1
 
--- a/src/heatherpier/writes/_resolver.py
+++ b/src/heatherpier/writes/_resolver.py
@@ -30,6 +30,7 @@
 from heatherpier.writes._primary import find_primary
 from heatherpier.writes._records import (
     CREATE_TABLE,
+    UNKNOWN_FINGERPRINT,
     RecordState,
     RequestRecord,
     find_record,
@@ -164,7 +165,8 @@
         record, status = finding.record, finding.status
         if record is None:
             return Free(attempt=1)
-        if work.fingerprint not in ("", record.fingerprint):
+        known = UNKNOWN_FINGERPRINT not in (work.fingerprint, record.fingerprint)
+        if known and work.fingerprint != record.fingerprint:
             raise RefusedError(f"key {work.key!r} was used for another statement")
         if record.state is RecordState.REFUSED:
             return Free(attempt=record.attempt + 1)
--- a/src/heatherpier/writes/_single.py
+++ b/src/heatherpier/writes/_single.py
@@ -17,6 +17,7 @@
 )
 from heatherpier.telemetry import get_logger
 from heatherpier.timers import Timers
+from heatherpier.writes._attempt import REFUSAL_RESERVE_S
 from heatherpier.writes._errors import (
     AttemptLostError,
     CommitUnknownError,
@@ -40,10 +41,6 @@
 
 log = get_logger("writes")
 
-# Time before the deadline that is kept for the refusal of an attempt whose
-# outcome is unknown, in seconds.
-REFUSAL_RESERVE_S = 0.3
-
 
 class SingleWriter:
     """Runs writes outside transactions.
--- a/src/heatherpier/writes/_transaction.py
+++ b/src/heatherpier/writes/_transaction.py
@@ -41,12 +41,15 @@
         lease: Gives the connection back to its pool.
         timers: Timer service.
         idle_limit_s: Longest time in seconds between two statements.
+        reserve_s: Time in seconds before each deadline that is left for settling
+            what became of the transaction.
 
     Attributes:
         group: Group that it runs on.
         conn: Its connection.
         statements: Statements that ran and may have changed something.
         lost: Why it can't go on, or None.
+        final: Answer to all further statements, once it is settled.
     """
 
     def __init__(
@@ -57,20 +60,25 @@
         *,
         timers: Timers,
         idle_limit_s: float,
+        reserve_s: float,
     ) -> None:
         self.group = group
         self.conn = conn
         self.statements: list[str] = []
         self.lost: str | None = None
+        self.final: FinalError | None = None
         self._lease = lease
         self._timers = timers
         self._idle_limit_s = idle_limit_s
+        self.reserve_s = reserve_s
         self._busy = False
         self._used_at = timers.now()
         self._watch = group.start(self._watch_idle())
 
     def require_open(self) -> None:
-        """Raises NotRunError if the transaction can't go on."""
+        """Raises the final answer if the transaction can't go on."""
+        if self.final is not None:
+            raise self.final
         if self.lost is not None:
             raise NotRunError(f"the transaction was rolled back: {self.lost}")
 
@@ -93,7 +101,7 @@
             )
         with self._working():
             try:
-                left = req.deadline - self._timers.now()
+                left = req.deadline - self._timers.now() - self.reserve_s
                 result = await self.conn.execute(req.sql, timeout_s=left)
             except StatementError as exc:
                 raise await self._judge(req, exc) from exc
--- a/src/heatherpier/writes/tests/test_transactions.py
+++ b/src/heatherpier/writes/tests/test_transactions.py
@@ -212,6 +212,29 @@
     assert bench.runs("mai") == 0
 
 
+async def test_second_transaction_without_a_primary_does_not_deny_the_first(
+    bench, proxy, caller
+):
+    await transact(caller, key="filing-1")
+    await traps.lose_majority(bench, None)
+    assert await outcome_of(caller.begin(key="filing-1")) is OutcomeUnknownError
+
+
+async def test_lost_second_transaction_does_not_deny_a_late_commit(bench, proxy):
+    first, second = proxy.caller(), proxy.caller()
+    proxy.trap(traps.stall_commit, "COMMIT")
+    await first.begin(key="filing-1")
+    await first.run(CALL)
+    await first.run(SECOND)
+    assert await outcome_of(first.commit(budget_s=0.8)) is OutcomeUnknownError
+    await second.begin(key="filing-1")
+    proxy.trap(traps.reset, "SELECT")
+    assert await outcome_of(second.run("SELECT 1")) is AlreadyRunError
+    with pytest.raises(AlreadyRunError):
+        await second.run(SECOND)
+    await check(bench, None)
+
+
 # Faults
 
 RECORD = "INSERT INTO heatherpier_requests"
@@ -245,12 +268,14 @@
 
 @pytest.mark.parametrize("fault", FAULTS, ids=lambda fault: fault.__name__)
 @pytest.mark.parametrize("moment", MOMENTS)
+@pytest.mark.parametrize("key", [None, "filing-1"])
 async def test_fault_commits_all_of_a_transaction_or_nothing(
-    bench, proxy, caller, moment, fault
+    bench, proxy, caller, moment, fault, key
 ):
     prefix, after = MOMENTS[moment]
-    proxy.trap(fault, prefix, after=after)
-    outcome = await outcome_of(transact(caller))
+    trap = proxy.trap(fault, prefix, after=after)
+    outcome = await outcome_of(transact(caller, key=key))
+    assert trap.sprung
     assert outcome in (None, NotRunError)
     if fault is traps.reset:
         assert outcome is (None if moment in AFTER_COMMIT else NotRunError)
