--- a/src/heatherpier/writes/_single.py
+++ b/src/heatherpier/writes/_single.py
@@ -10,6 +10,7 @@
     FinalError,
     NotRunError,
     OutcomeUnknownError,
+    OverloadedError,
     ReadOnlyError,
     RefusedError,
     Request,
@@ -105,6 +106,8 @@
         """
         # An earlier try of a caller's key may have run, or may still run.
         unknown = req.key is not None
+        # Whether this try has sent a COMMIT whose effect is not known.
+        unsettled = False
         tries = 0
         while True:
             tries += 1
@@ -115,6 +118,11 @@
                 # no other try had it.
                 settled = not unknown or req.key is not None
                 return await self._end(group, req, record, exc, unknown=not settled)
+            except OverloadedError as exc:
+                # A refusal of the attempt would add work to the overload.
+                if unsettled:
+                    raise _outcome_unknown(record, exc.reason) from exc
+                raise
             except FinalError as exc:
                 return await self._end(group, req, record, exc, unknown=unknown)
             except AttemptLostError as exc:
@@ -124,7 +132,8 @@
                 await self._create_table(group, req)
             except (RecordExistsError, CommitUnknownError) as exc:
                 reason = exc
-                unknown = unknown or isinstance(exc, CommitUnknownError)
+                unsettled = unsettled or isinstance(exc, CommitUnknownError)
+                unknown = unknown or unsettled
                 found = await self._look_up(group, req, record)
                 if isinstance(found, Ran):
                     return _answer(found)
