Count statements, reads, callers and gaps between primaries

Cause: /metrics was empty, and log lines did not tell whose statement they are. Change: one registry per proxy with bounded labels; fields bound to the task of a connection go into its log lines.

--- /dev/null
+++ b/src/heatherpier/_measured.py
@@ -0,0 +1,59 @@
+"""Measures reads and the gaps between primaries."""
+
+from collections.abc import Iterable
+from typing import Any
+
+from heatherpier.groups import Group, NoPrimaryError
+from heatherpier.reads import Reader
+from heatherpier.requests import Answer, Request
+from heatherpier.telemetry import Metrics
+from heatherpier.timers import Timers
+
+GAP_PERIOD_S = 0.1
+
+
+class MeasuredReader(Reader):
+    """A reader that counts which role served each read.
+
+    Args:
+        metrics: Where reads are counted.
+        options: Those of `Reader`.
+    """
+
+    def __init__(self, *, metrics: Metrics, **options: Any) -> None:
+        super().__init__(**options)
+        self._metrics = metrics
+
+    async def execute(self, group: Group, req: Request) -> Answer:
+        """Runs a read; see `Reader.execute`."""
+        answer = await super().execute(group, req)
+        self._metrics.observe_read(replica=answer.replica)
+        return answer
+
+
+async def measure_gaps(
+    groups: Iterable[Group], *, timers: Timers, metrics: Metrics
+) -> None:
+    """Observes for how long each group had no known primary, until cancelled.
+
+    A group whose first primary is not known yet has no gap.
+    """
+    watched = tuple(groups)
+    known: dict[str, float] = {}
+    async for now in timers.every(GAP_PERIOD_S):
+        for group in watched:
+            name = group.spec.name
+            if not _has_primary(group):
+                continue
+            gap_s = now - known.get(name, now)
+            if gap_s > 2 * GAP_PERIOD_S:
+                metrics.observe_gap(name, gap_s=gap_s)
+            known[name] = now
+
+
+def _has_primary(group: Group) -> bool:
+    try:
+        group.primary()
+    except NoPrimaryError:
+        return False
+    return True
--- a/src/heatherpier/_proxy.py
+++ b/src/heatherpier/_proxy.py
@@ -5,9 +5,8 @@
 import random
 import signal
 
-from prometheus_client import REGISTRY
-
 from heatherpier import __version__
+from heatherpier._measured import MeasuredReader, measure_gaps
 from heatherpier._session import Session
 from heatherpier._status import ProxyStatus, group_status
 from heatherpier.callers import Listener, limits_of, ssl_context_of
@@ -19,10 +18,9 @@
     start_watcher,
 )
 from heatherpier.limits import Admission
-from heatherpier.reads import Reader
 from heatherpier.sessions import TokenSigner
 from heatherpier.settings import Document, ProxySettings, ServiceModel
-from heatherpier.telemetry import AdminServer, JsonHandler, get_logger
+from heatherpier.telemetry import AdminServer, JsonHandler, Metrics, get_logger
 from heatherpier.timers import LoopTimers
 from heatherpier.upstreams import Instance, MysqlConnector
 from heatherpier.writes import KeyMaker, Writer
@@ -56,12 +54,14 @@
         self._ready = False
         self._timers = LoopTimers()
         rng = random.SystemRandom()
+        self._metrics = Metrics()
         self._admission = Admission(timers=self._timers, proxies=cfg.proxies)
-        self._reader = Reader(
+        self._reader = MeasuredReader(
             timers=self._timers,
             data_centre=cfg.data_centre,
             rng=rng,
             admission=self._admission,
+            metrics=self._metrics,
         )
         keys = KeyMaker(proxy=cfg.name, rng=rng, timers=self._timers)
         self._writer = Writer(
@@ -141,11 +141,15 @@
         for group in self._all_groups():
             self._watch(group)
             self._writer.start_pruning(group)
+        measuring = asyncio.create_task(
+            measure_gaps(self._all_groups(), timers=self._timers, metrics=self._metrics)
+        )
         await listener.start(host=self._cfg.host, port=self._cfg.port)
         self._ready = True
         log.info("listening", host=self._cfg.host, port=self._cfg.port)
         await stop.wait()
         cut = await self._stop(listener)
+        measuring.cancel()
         for group in self._all_groups():
             group.close()
         self._admission.close()
@@ -178,6 +182,7 @@
             open_session=self.open_session,
             password_hashes=hashes,
             timers=self._timers,
+            metrics=self._metrics,
             limits=limits_of(self._cfg.callers, self._cfg.stop),
             ssl=ssl_context_of(self._cfg.callers),
         )
@@ -189,7 +194,7 @@
         admin = AdminServer(
             ready=lambda: self._ready,
             status=lambda: self._status(listener),
-            registry=REGISTRY,
+            registry=self._metrics.registry,
             handler=self._log_handler,
             token=cfg.token.get_secret_value(),
         )
--- a/src/heatherpier/_session.py
+++ b/src/heatherpier/_session.py
@@ -29,6 +29,7 @@
     parse_attributes,
     split_comment,
 )
+from heatherpier.telemetry import bind_log_fields
 from heatherpier.timers import Timers
 from heatherpier.upstreams import Column, Result
 from heatherpier.writes import Writer
@@ -193,6 +194,7 @@
     def _enter(self, given: SessionHints) -> SessionHints:
         hints = self._defaults.overridden(self._hints).overridden(given)
         self._floors.enter(hints, signer=self._signer)
+        bind_log_fields(session=hints.session or "", trace=hints.trace or "")
         return hints
 
     # Requests
--- a/src/heatherpier/callers/_listener.py
+++ b/src/heatherpier/callers/_listener.py
@@ -14,7 +14,7 @@
 from heatherpier.callers._session import CallerSession, SessionAdapter
 from heatherpier.callers._stream import CallerStream
 from heatherpier.callers._users import Users
-from heatherpier.telemetry import get_logger
+from heatherpier.telemetry import Metrics, get_logger
 from heatherpier.timers import Timers
 
 log = get_logger("callers")
@@ -29,6 +29,7 @@
         open_session: Makes the session of a new caller from its user name.
         password_hashes: Hash of each user's password, by user name.
         timers: Timer service.
+        metrics: Where callers and statements are counted.
         limits: Limits of the listener and of each connection.
         ssl: Offered to callers, or None.
     """
@@ -39,12 +40,14 @@
         open_session: Callable[[str], CallerSession],
         password_hashes: Mapping[str, str],
         timers: Timers,
+        metrics: Metrics | None = None,
         limits: CallerLimits | None = None,
         ssl: SSLContext | None = None,
     ) -> None:
         self._open_session = open_session
         self._users = Users(password_hashes)
         self._timers = timers
+        self._metrics = metrics or Metrics()
         self._limits = limits or CallerLimits()
         self._ssl = ssl
         self._control = LocalControl()
@@ -112,12 +115,14 @@
         task = asyncio.current_task()
         assert task is not None
         self._connections[conn] = task
+        self._metrics.callers.set(len(self._connections))
         if self._draining:
             conn.drain()
         try:
             await conn.serve()
         finally:
             del self._connections[conn]
+            self._metrics.callers.set(len(self._connections))
             await self._control.remove(conn.connection_id)
 
     def _make_connection(
@@ -126,7 +131,9 @@
         stream = CallerStream(reader, writer, limits=self._limits, timers=self._timers)
         return CallerConnection(
             stream,
-            session=SessionAdapter(self._open_session),
+            session=SessionAdapter(
+                self._open_session, timers=self._timers, metrics=self._metrics
+            ),
             control=self._control,
             users=self._users,
             ssl=self._ssl,
@@ -142,4 +149,5 @@
         )
         writer.write(len(packet).to_bytes(3, "little") + b"\0" + packet)
         writer.close()
+        self._metrics.refused_callers.inc()
         log.warning("connection refused", connections=len(self._connections))
--- a/src/heatherpier/callers/_session.py
+++ b/src/heatherpier/callers/_session.py
@@ -9,6 +9,7 @@
 from mysql_mimic.variables import GlobalVariables, SessionVariables
 
 from heatherpier.callers._errors import UnknownDatabaseError
+from heatherpier.callers._kinds import Read, Write
 from heatherpier.callers._local import (
     Answered,
     ChooseDatabase,
@@ -18,8 +19,11 @@
 )
 from heatherpier.callers._packets import PacketAdapter
 from heatherpier.callers._rows import text_columns
+from heatherpier.callers._statements import classify
+from heatherpier.callers._transactions import Begin, Commit, Rollback, Savepoint
 from heatherpier.requests import FinalError
-from heatherpier.telemetry import get_logger
+from heatherpier.telemetry import Metrics, bind_log_fields, get_logger
+from heatherpier.timers import Timers
 from heatherpier.upstreams import Result
 
 log = get_logger("callers")
@@ -58,9 +62,19 @@
 
     Args:
         open_session: Makes the session of a new caller from its user name.
+        timers: Timer service.
+        metrics: Where statements are counted.
     """
 
-    def __init__(self, open_session: Callable[[str], CallerSession]) -> None:
+    def __init__(
+        self,
+        open_session: Callable[[str], CallerSession],
+        *,
+        timers: Timers,
+        metrics: Metrics,
+    ) -> None:
+        self._timers = timers
+        self._metrics = metrics
         self.variables = SessionVariables(GlobalVariables())
         self.username: str | None = None
         self.database: str | None = None
@@ -83,6 +97,7 @@
             UnknownDatabaseError: The user has no such database.
         """
         await self.close()
+        bind_log_fields(connection=str(number), user=username)
         self.username = username
         self._session = self._open_session(username)
         self._state = ConnectionState(
@@ -175,7 +190,20 @@
     async def _forward(self, sql: str, attrs: Mapping[str, Any]) -> Result:
         assert self._session is not None
         hints = {name: str(value) for name, value in attrs.items() if value is not None}
-        result = await self._session.execute(sql, database=self.database, hints=hints)
+        code: int | None = FinalError.code
+        began = self._timers.now()
+        try:
+            result = await self._session.execute(
+                sql, database=self.database, hints=hints
+            )
+            code = None
+        except FinalError as exc:
+            code = exc.code
+            raise
+        finally:
+            self._metrics.observe_statement(
+                _kind(sql), code=code, delay_s=self._timers.now() - began
+            )
         self._state.row_count = -1 if result.columns else result.affected_rows
         self._state.found_rows = len(result.rows)
         if result.last_insert_id:
@@ -188,3 +216,15 @@
                 in_transaction=self._session.in_transaction,
                 autocommit=self._session.autocommit,
             )
+
+
+def _kind(sql: str) -> str:
+    match classify(sql):
+        case Read():
+            return "read"
+        case Write():
+            return "write"
+        case Begin() | Commit() | Rollback() | Savepoint():
+            return "transaction"
+        case _:
+            return "other"
--- a/src/heatherpier/telemetry/__init__.py
+++ b/src/heatherpier/telemetry/__init__.py
@@ -1,6 +1,14 @@
 """Structured logs, metrics and the admin endpoint."""
 
 from heatherpier.telemetry._admin import AdminServer
+from heatherpier.telemetry._context import bind_log_fields
 from heatherpier.telemetry._logs import JsonHandler, get_logger
+from heatherpier.telemetry._metrics import Metrics
 
-__all__ = ["AdminServer", "JsonHandler", "get_logger"]
+__all__ = [
+    "AdminServer",
+    "JsonHandler",
+    "Metrics",
+    "bind_log_fields",
+    "get_logger",
+]
--- a/src/heatherpier/telemetry/_logs.py
+++ b/src/heatherpier/telemetry/_logs.py
@@ -6,6 +6,8 @@
 import logbook
 import msgspec
 
+from heatherpier.telemetry._context import bound_log_fields
+
 
 def get_logger(name: str) -> logbook.Logger:
     """Returns the logger of one slice."""
@@ -49,6 +51,7 @@
             "logger": record.channel,
             "message": record.message,
             **self._fields,
+            **bound_log_fields(),
             **(record.kwargs or {}),
         }
         if record.exc_info:
