--- a/src/heatherpier/telemetry/_admin.py
+++ b/src/heatherpier/telemetry/_admin.py
@@ -15,6 +15,7 @@
 METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 BEARER = "Bearer "
 BODY_BYTES = 4096
+SHUTDOWN_S = 1.0
 
 
 class AdminServer:
@@ -52,9 +53,9 @@
         app.router.add_get("/metrics", self._get_metrics)
         app.router.add_get("/status", self._get_status)
         app.router.add_put("/log-level", self._put_log_level)
-        self._runner = web.AppRunner(app, access_log=None)
+        self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=SHUTDOWN_S)
         await self._runner.setup()
-        await web.TCPSite(self._runner, host, port, shutdown_timeout=1.0).start()
+        await web.TCPSite(self._runner, host, port).start()
 
     async def close(self) -> None:
         """Stops listening."""
--- a/src/heatherpier/tests/test_measured.py
+++ b/src/heatherpier/tests/test_measured.py
@@ -6,6 +6,7 @@
 import pytest
 
 from heatherpier._measured import MeasuredReader, measure_gaps
+from heatherpier.limits import Admission
 from heatherpier.requests import Request
 from heatherpier.telemetry import Metrics
 
@@ -34,11 +35,17 @@
 ):
     group = memory_group.view("proxy-1")
     await group.refresh()
+    admission = Admission(timers=timers, proxies=1)
     reader = MeasuredReader(
-        timers=timers, data_centre="south-a", rng=random.Random(1), metrics=metrics
+        timers=timers,
+        data_centre="south-a",
+        rng=random.Random(1),
+        admission=admission,
+        metrics=metrics,
     )
     req = Request(sql="SELECT 1", group="assist-core-1", deadline=timers.now() + 2)
     answer = await reader.execute(group, req)
+    admission.close()
     role = "replica" if answer.replica else "primary"
     count = metrics.registry.get_sample_value("heatherpier_reads_total", {"role": role})
     assert count == 1
