Sort a statement of any length in one pass

Cause: comments, quotes and blanks without end made the sorting quadratic, which stopped the whole proxy; each write was parsed in full, and texts of any length were kept as cache keys. Change: possessive patterns that run to the end, bounds on what is parsed, cached and answered locally; writes are not parsed.

--- a/src/heatherpier/callers/_local.py
+++ b/src/heatherpier/callers/_local.py
@@ -16,6 +16,8 @@
 
 VAR_STRING = 253
 LONGLONG = 8
+# Nothing longer is asked by a driver of its own accord.
+LOCAL_CHARS = 2000
 
 LEADING_COMMENTS = re.compile(r"(?:\s+|/\*(?!!).*?\*/)*", re.S)
 FIRST_WORD = re.compile(r"(\w+)")
@@ -105,7 +107,7 @@
     text = sql[_end_of_comments(sql) :]
     found = FIRST_WORD.match(text)
     word = found[1].upper() if found else ""
-    match word:
+    match word if len(text) <= LOCAL_CHARS else "":
         case "SELECT":
             reply = _reply_to_select(text, state)
         case "SET":
--- a/src/heatherpier/callers/_prepared.py
+++ b/src/heatherpier/callers/_prepared.py
@@ -21,8 +21,9 @@
 # A placeholder, or what a question mark in it does not count in.
 PLACEHOLDER = re.compile(
     r"""
-      `[^`]*` | '(?:[^'\\]|\\.|'')*' | "(?:[^"\\]|\\.|"")*"
-    | /\*.*?\*/ | --(?=\s|$)[^\n]* | \#[^\n]*
+      `[^`]*+(?:`|\Z)
+    | '(?:[^'\\]|\\.|'')*+(?:'|\\?\Z) | "(?:[^"\\]|\\.|"")*+(?:"|\\?\Z)
+    | /\*.*?(?:\*/|\Z) | --(?=\s|\Z)[^\n]*+ | \#[^\n]*+
     | (?P<placeholder>\?)
     """,
     re.S | re.X,
--- a/src/heatherpier/callers/_shapes.py
+++ b/src/heatherpier/callers/_shapes.py
@@ -14,20 +14,27 @@
 from heatherpier.callers._kinds import Kind, Read, Unsupported, Write
 
 SHAPES_CACHED = 4096
+CACHED_SHAPE_CHARS = 4096
+# A longer query is not parsed, so it is not surely a read.
+PARSED_SHAPE_CHARS = 16_384
 
+# What has no end runs to the end of the text, so that one pass is enough.
 TOKEN = re.compile(
     r"""
-      (?P<keep>`[^`]*`)
-    | (?P<executable>/\*!\d*(?P<body>.*?)\*/)
-    | (?P<comment>/\*.*?\*/ | --(?=\s|$)[^\n]* | \#[^\n]*)
-    | (?P<string>'(?:[^'\\]|\\.|'')*' | "(?:[^"\\]|\\.|"")*")
-    | (?P<number>(?<![\w$.])\d+(?:\.\d+)?\b)
+      (?P<keep>`[^`]*+(?:`|\Z))
+    | (?P<executable>/\*!\d*(?:.*?)(?:\*/|\Z))
+    | (?P<comment>/\*.*?(?:\*/|\Z) | --(?=\s|\Z)[^\n]*+ | \#[^\n]*+)
+    | (?P<string>'(?:[^'\\]|\\.|'')*+(?:'|\\?\Z) | "(?:[^"\\]|\\.|"")*+(?:"|\\?\Z))
+    | (?P<number>(?<![\w$.])\d++(?:\.\d++)?\b)
+    | (?P<space>\s++)
     """,
     re.S | re.X,
 )
+EXECUTABLE = re.compile(r"/\*!\d*(.*?)(?:\*/|\Z)", re.S)
 FIRST_WORD = re.compile(r"\W*(\w+)(?:\s+(\w+))?")
 # Names before a parenthesis, quoted ones too, with the dot of a qualified one.
-CALLED = re.compile(r"(\.?)\s*(`[^`]*`|[\w$]+)\s*\(")
+CALLED = re.compile(r"(\.?) ?(`[^`]*+`|(?<![\w$])[\w$]++) ?\(")
+USER_VARIABLE = re.compile(r"(?<![@\w])@(?!@)[\w`'\"$.]{1,64}")
 TABLE_NAME = re.compile(r"[\w`$.]+(?:\s+[\w`$%']+)?\s*;?\s*$")
 EXPLAIN = re.compile(r"\W*\w+\s+(?:ANALYZE\s+)?(?:FORMAT\s*=\s*\w+\s+)?", re.I)
 TEMPORARY = re.compile(r"(?:CREATE|DROP)\s+TEMPORARY\b", re.I)
@@ -108,18 +115,28 @@
             return "'0'"
         case "number":
             return "0"
-        case "comment":
+        case "comment" | "space":
             return " "
         case _:
             return found[0]
 
 
-@functools.lru_cache(maxsize=SHAPES_CACHED)
 def classify_shape(shape: str) -> Kind:
     """Returns how a statement of this shape must be served."""
+    if len(shape) > CACHED_SHAPE_CHARS:
+        return _classify_any(shape)
+    return _classify_cached(shape)
+
+
+@functools.lru_cache(maxsize=SHAPES_CACHED)
+def _classify_cached(shape: str) -> Kind:
+    return _classify_any(shape)
+
+
+def _classify_any(shape: str) -> Kind:
     if "/*!" not in shape:
         return _classify(shape)
-    kind = _classify(re.sub(r"/\*!\d*(.*?)\*/", r" \1 ", shape, flags=re.S).strip())
+    kind = _classify(EXECUTABLE.sub(r" \1 ", shape).strip())
     # An instance may or may not run the body, depending on its version.
     return Write() if kind == Read() else kind
 
@@ -160,22 +177,14 @@
 
 
 def _classify_write(text: str) -> Kind:
-    return _refused_call(text) or _refused_variable(_parse(text)) or Write()
+    return _refused_call(text) or _refused_variable(text) or Write()
 
 
 def _classify_query(text: str) -> Kind:
-    tree = _parse(text)
-    refused = _refused_call(text) or _refused_variable(tree)
+    refused = _refused_call(text) or _refused_variable(text)
     if refused is not None:
         return refused
-    return Read() if tree is not None and _is_plain(tree, text) else Write()
-
-
-def _parse(text: str) -> exp.Expression | None:
-    try:
-        return sqlglot.parse_one(text, read="mysql")
-    except sqlglot.errors.SqlglotError:
-        return None
+    return Read() if _is_plain(text) else Write()
 
 
 def _refused_call(text: str) -> Unsupported | None:
@@ -185,17 +194,23 @@
     return None
 
 
-def _refused_variable(tree: exp.Expression | None) -> Unsupported | None:
-    found = tree.find(exp.Parameter) if tree is not None else None
+def _refused_variable(text: str) -> Unsupported | None:
+    found = USER_VARIABLE.search(text)
     if found is None:
         return None
-    return Unsupported(f"user variable {found.sql()[:40]!r} {NOT_CARRIED}")
+    return Unsupported(f"user variable {found[0][:40]!r} {NOT_CARRIED}")
 
 
-def _is_plain(tree: exp.Expression, text: str) -> bool:
-    if not isinstance(tree, exp.Query | exp.Values):
-        return False
-    if tree.find(*SIDE_EFFECTS) is not None:
+def _is_plain(text: str) -> bool:
+    if len(text) > PARSED_SHAPE_CHARS:
         return False
     names = CALLED.findall(text)
-    return all(not dot and name.upper() in PLAIN_NAMES for dot, name in names)
+    if any(dot or name.upper() not in PLAIN_NAMES for dot, name in names):
+        return False
+    try:
+        tree = sqlglot.parse_one(text, read="mysql")
+    except (sqlglot.errors.SqlglotError, RecursionError):
+        return False
+    if not isinstance(tree, exp.Query | exp.Values):
+        return False
+    return tree.find(*SIDE_EFFECTS) is None
--- a/src/heatherpier/callers/_statements.py
+++ b/src/heatherpier/callers/_statements.py
@@ -14,6 +14,7 @@
     classify_transaction,
 )
 
+HINT_CHARS = 8192
 HINT = re.compile(r"SET\s+@heatherpier_(\w+)\s*:?=\s*(.+?)\s*;?\s*$", re.I | re.S)
 TOKEN = re.compile(r"SELECT\s+@heatherpier_token\s*;?\s*$", re.I)
 AUTOCOMMIT = re.compile(
@@ -72,7 +73,7 @@
         text = text[comments.end() :]
     if TOKEN.match(text):
         return SelectToken()
-    if found := HINT.match(text):
+    if len(text) <= HINT_CHARS and (found := HINT.match(text)):
         return SetHint(found[1].lower(), found[2].strip("'\""))
     if found := AUTOCOMMIT.match(text):
         return SetAutocommit(found[1] is not None)
--- a/src/heatherpier/callers/tests/test_statements.py
+++ b/src/heatherpier/callers/tests/test_statements.py
@@ -101,3 +101,39 @@
 @pytest.mark.parametrize("sql", UNSUPPORTED)
 def test_statement_that_cannot_be_carried_over_is_refused(sql):
     assert isinstance(classify(sql), Unsupported)
+
+
+@pytest.mark.parametrize(
+    ("sql", "kind"),
+    [
+        ("INSERT INTO t VALUES " + ", ".join(["(1, 'a')"] * 50_000), Write()),
+        ("SELECT a FROM t WHERE b IN (" + ", ".join(["7"] * 50_000) + ")", Write()),
+        ("UPDATE t SET a = 1", Write()),
+    ],
+    ids=["long write", "long query", "write"],
+)
+def test_writes_and_long_queries_are_not_parsed(monkeypatch, sql, kind):
+    def fail(*args, **options):
+        raise AssertionError("parsed")
+
+    monkeypatch.setattr("sqlglot.parse_one", fail)
+    assert classify(sql) == kind
+
+
+@pytest.mark.parametrize(
+    ("part", "kind"),
+    [
+        ("/* ", Read()),
+        ("/*!", Write()),
+        ("'", Read()),
+        (" ", Read()),
+        ("(", Write()),
+        ("`", Write()),
+        ("a", Write()),
+        ("\\", Write()),
+        ("--", Write()),
+    ],
+)
+def test_text_without_end_is_sorted_in_one_pass(part, kind):
+    # Quadratic work would not end here. What is no SQL fails at the instance.
+    assert classify("SELECT " + part * 400_000) == kind
