--- a/src/heatherpier/_cli.py
+++ b/src/heatherpier/_cli.py
@@ -8,6 +8,7 @@
   heatherpier bench instance --settings=FILE
   heatherpier bench demo [--deployment=NAME] [--proxies=N] [--seed=N]
   heatherpier bench writes
+  heatherpier bench failover
   heatherpier version
   heatherpier (-h | --help)
 
--- a/src/heatherpier/_proxy.py
+++ b/src/heatherpier/_proxy.py
@@ -15,6 +15,7 @@
     Group,
     GroupSpec,
     Promoter,
+    connection_share,
     proposer_rank,
     start_watcher,
 )
@@ -99,7 +100,11 @@
                     )
                     for item in model.instances
                 ),
-                connections=max(service.connections // self._cfg.proxies, 1),
+                connections=connection_share(
+                    accepted=service.connections,
+                    instances=len(model.instances),
+                    proxies=self._cfg.proxies,
+                ),
             )
             for item in model.instances:
                 self._admission.configure(
--- a/src/heatherpier/bench/_commands.py
+++ b/src/heatherpier/bench/_commands.py
@@ -8,6 +8,7 @@
 
 from heatherpier.bench._demo import run_demo
 from heatherpier.bench._deployment import DEPLOYMENTS
+from heatherpier.bench._failover_report import print_failover
 from heatherpier.bench._instance_server import run_instance
 from heatherpier.bench._write_cost import print_write_costs
 from heatherpier.settings import InvalidSettingsError
@@ -29,6 +30,9 @@
     if args["writes"]:
         print_write_costs()
         return EXIT_OK
+    if args["failover"]:
+        print_failover()
+        return EXIT_OK
     return _run_demo(args)
 
 
--- a/src/heatherpier/bench/_failover.py
+++ b/src/heatherpier/bench/_failover.py
@@ -238,7 +238,7 @@
     timers: Timers,
     *,
     proxies: int = 4,
-    connections: int = 5,
+    connections: int = 4,
     baseline: bool = False,
     ranked: bool = True,
 ) -> FailoverCluster:
@@ -301,6 +301,7 @@
     *,
     seed: int,
     proxies: int = 4,
+    connections: int = 4,
     store_down: bool = False,
     baseline: bool = False,
 ) -> LossResult:
@@ -311,13 +312,16 @@
         loss: How the primary is lost.
         seed: Seed of the moment of the loss.
         proxies: Count of proxies.
+        connections: Connections of each proxy to each instance.
         store_down: Whether the directory is down all along.
         baseline: Whether losses are found by a fixed time-out alone.
 
     Raises:
         NotAcknowledgedError: Writes had not resumed after `LONGEST_GAP_S`.
     """
-    cluster = await start_failover_cluster(timers, proxies=proxies, baseline=baseline)
+    cluster = await start_failover_cluster(
+        timers, proxies=proxies, connections=connections, baseline=baseline
+    )
     cluster.directory.faults.down = store_down
     try:
         await timers.sleep(WARM_UP_S + random.Random(seed).random() * MOMENT_S)
@@ -331,3 +335,29 @@
         return LossResult(loss=loss, gap_s=resumed_at - lost_at, lost=lost)
     finally:
         await cluster.close()
+
+
+async def measure_handover(timers: Timers, *, proxies: int, connections: int) -> float:
+    """Has the primary leave and returns the longest stall of a caller, in seconds.
+
+    Args:
+        timers: Timer service.
+        proxies: Count of proxies.
+        connections: Connections of each proxy to each instance.
+
+    Raises:
+        NotAcknowledgedError: The primary was not replaced.
+    """
+    cluster = await start_failover_cluster(
+        timers, proxies=proxies, connections=connections
+    )
+    try:
+        await timers.sleep(WARM_UP_S)
+        old = cluster.primary()
+        cluster.leave(old.name)
+        await timers.sleep(SETTLE_S)
+        if cluster.primary() is old:
+            raise NotAcknowledgedError(f"{old.name} is still the primary")
+        return cluster.longest_stall_s()
+    finally:
+        await cluster.close()
--- a/src/heatherpier/groups/__init__.py
+++ b/src/heatherpier/groups/__init__.py
@@ -21,7 +21,7 @@
 from heatherpier.groups._group import Group
 from heatherpier.groups._promoter import Promoter, Promotion
 from heatherpier.groups._rank import proposer_rank
-from heatherpier.groups._spec import GroupSpec
+from heatherpier.groups._spec import GroupSpec, connection_share
 from heatherpier.groups._types import (
     Adoption,
     InstanceStatus,
@@ -50,6 +50,7 @@
     "UnexpectedAnswerError",
     "Watcher",
     "adopt_term",
+    "connection_share",
     "fetch_last_commit",
     "fetch_status",
     "follow_primary",
--- a/src/heatherpier/groups/_spec.py
+++ b/src/heatherpier/groups/_spec.py
@@ -5,6 +5,20 @@
 from heatherpier.upstreams import Instance
 
 
+def connection_share(*, accepted: int, instances: int, proxies: int) -> int:
+    """Returns how many connections one proxy may open to an instance.
+
+    Each replica needs a connection to the primary, and one more is left for
+    probes, or a change of primary would find no connection for replication.
+
+    Args:
+        accepted: Connections that the instance accepts.
+        instances: Count of the group's instances.
+        proxies: Count of proxies that share the instance.
+    """
+    return max((accepted - instances) // proxies, 1)
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class GroupSpec:
     """What the configuration says of a group.
--- a/src/heatherpier/groups/_watcher.py
+++ b/src/heatherpier/groups/_watcher.py
@@ -150,19 +150,18 @@
         return now >= start + turn_s
 
     def _earliest(self, now: float) -> float | None:
+        """Returns when the condition may be acted on, or None for not at all."""
+        if not self._majority_answers():
+            return None
         match self._condition:
             case PrimaryWorks():
                 return None
             case PrimaryLost(expected=expected):
                 known = not expected or expected in self._group.statuses
-                confirmed = known or expected in self._down
-                enough = self._answering(()) >= self._group.spec.majority
-                if not (confirmed and enough):
+                if not (known or expected in self._down):
                     return None
                 return self._evidence.earliest(self._since, now)
-            case PrimaryIsolated(primary=primary):
-                if self._answering((primary,)) < self._group.spec.majority:
-                    return None
+            case PrimaryIsolated():
                 new_s = NEW_PRIMARY_S * self._evidence.caution(now)
                 return max(
                     self._since + ISOLATED_HOLD_OFF_S, self._evidence.led_at + new_s
@@ -172,8 +171,12 @@
             case PrimaryLeaving():
                 return self._since + LEAVING_HOLD_OFF_S
 
-    def _answering(self, avoid: tuple[str, ...]) -> int:
-        return len(self._group.statuses.keys() - set(avoid))
+    def _majority_answers(self) -> bool:
+        # A proposal that can't succeed would only raise terms.
+        answering = set(self._group.statuses)
+        if isinstance(self._condition, PrimaryIsolated):
+            answering.discard(self._condition.primary)
+        return len(answering) >= self._group.spec.majority
 
     async def _act(self) -> None:
         try:
--- a/src/heatherpier/groups/tests/test_change_of_primary.py
+++ b/src/heatherpier/groups/tests/test_change_of_primary.py
@@ -1,9 +1,15 @@
 """Changes of primary under faults, in virtual time, with writing callers."""
 
+import asyncio
+
 import pytest
 
 from heatherpier.bench import Loss, measure_loss
-from heatherpier.groups import NotAcknowledgedError, fetch_last_commit
+from heatherpier.groups import (
+    NotAcknowledgedError,
+    connection_share,
+    fetch_last_commit,
+)
 from heatherpier.upstreams import StatementError
 
 WORST_GAP_S = 4.0
@@ -217,6 +223,32 @@
     assert await gap_after(cluster, timers, lose(Loss.CRASH)) <= WORST_GAP_S
 
 
+async def open_all_connections(cluster):
+    async def use(pool):
+        async with pool.borrow(timeout_s=1.0) as conn:
+            await conn.execute("CALL group_wait(9, 9, 50)", timeout_s=1.0)
+
+    await asyncio.gather(
+        *(
+            use(pool)
+            for view in cluster.views
+            for pool in view.pools.values()
+            for _ in range(view.spec.connections)
+        ),
+        return_exceptions=True,
+    )
+
+
+@pytest.mark.parametrize("proxies", [4, 12])
+async def test_replication_finds_a_connection_when_all_pools_are_open(
+    start_cluster, timers, proxies
+):
+    share = connection_share(accepted=20, instances=3, proxies=proxies)
+    cluster = await start_cluster(proxies=proxies, connections=share)
+    await open_all_connections(cluster)
+    assert await gap_after(cluster, timers, lose(Loss.CRASH)) <= WORST_GAP_S
+
+
 @pytest.mark.parametrize(("proxies", "connections"), [(4, 4), (12, 1)])
 async def test_leaving_primary_is_replaced_with_a_short_stall(
     start_cluster, timers, proxies, connections
