--- a/src/heatherpier/_cli.py
+++ b/src/heatherpier/_cli.py
@@ -10,6 +10,7 @@
   heatherpier bench writes
   heatherpier bench reads [--deployment=NAME] [--proxies=N] [--seed=N]
   heatherpier bench overload [--proxies=N] [--seed=N]
+  heatherpier bench failover
   heatherpier version
   heatherpier (-h | --help)
 
--- a/src/heatherpier/bench/_commands.py
+++ b/src/heatherpier/bench/_commands.py
@@ -8,6 +8,7 @@
 
 from heatherpier.bench._demo import run_demo
 from heatherpier.bench._deployment import DEPLOYMENTS
+from heatherpier.bench._failover_report import print_failover
 from heatherpier.bench._instance_server import run_instance
 from heatherpier.bench._overload import run_overload
 from heatherpier.bench._read_share import READ_MIXES, run_reads
@@ -33,6 +34,9 @@
         return EXIT_OK
     if args["reads"]:
         return _run_reads(args)
+    if args["failover"]:
+        print_failover()
+        return EXIT_OK
     if args["overload"]:
         proxies = _integer(args, "--proxies", least=1)
         run_overload(proxies=proxies, seed=_seed(args))
