Add seeded fault runs in memory and a load command with JSON figures

`bench faults` drives the real watchers, promoters, writer, reader and sessions under virtual time through crashes, pauses, cuts, lag, lost answers, silent connections and killed proxies, and gives the histories to the same checker. A seed gives the same history each time. `bench load` prints delays by class.

Ruled out: a model of the proxy for these runs; it would check itself.

--- a/src/heatherpier/_cli.py
+++ b/src/heatherpier/_cli.py
@@ -8,6 +8,9 @@
   heatherpier bench instance --settings=FILE
   heatherpier bench demo [--deployment=NAME] [--proxies=N] [--seed=N]
   heatherpier bench writes
+  heatherpier bench load [--deployment=NAME] [--proxies=N] [--rate=N] [--seconds=N]
+                         [--seed=N]
+  heatherpier bench faults [--seeds=N] [--seed=N]
   heatherpier version
   heatherpier (-h | --help)
 
@@ -16,7 +19,10 @@
   --admin=ADDRESS    Admin endpoint of a proxy, as IP:port.
   --deployment=NAME  sen-vang or lantern-ledger [default: sen-vang].
   --proxies=N        Count of proxies [default: 4].
-  --seed=N           Seed of all random choices; a new one if not given.
+  --seed=N           Seed of all random choices; for faults, the first of them.
+  --seeds=N          Count of fault runs [default: 1].
+  --rate=N           Operations a second in each group [default: 30].
+  --seconds=N        Time over which operations arrive [default: 20].
   -h --help          Show this text.
 
 Examples:
@@ -25,6 +31,8 @@
   heatherpier schema document > document.schema.json
   heatherpier status --admin=10.1.0.11:8306
   heatherpier bench demo --deployment=lantern-ledger --proxies=12 --seed=7
+  heatherpier bench faults --seeds=200
+  heatherpier bench faults --seed=17
 
 Exit codes:
   0  done
--- a/src/heatherpier/bench/_caller.py
+++ b/src/heatherpier/bench/_caller.py
@@ -159,7 +159,9 @@
         return self._links[name]
 
     async def _send(self, link: _Link, sql: str) -> Result:
+        proxy = self._current.name
         self.history.sent += 1
+        self.history.in_flight[proxy] += 1
         try:
             return await link.conn.execute(sql)
         except NoAnswerError as exc:
@@ -170,6 +172,8 @@
             if exc.code == SERVER_SHUTDOWN:
                 self.drop_link()
             raise
+        finally:
+            self.history.in_flight[proxy] -= 1
 
     def _record_cut(self, sql: str, reason: str) -> None:
         self.history.cuts.append(
--- a/src/heatherpier/bench/_commands.py
+++ b/src/heatherpier/bench/_commands.py
@@ -1,14 +1,18 @@
 """The ``bench`` sub-commands."""
 
 import asyncio
+import dataclasses
+import json
 import random
 from collections.abc import Mapping
 from pathlib import Path
 from typing import Any
 
 from heatherpier.bench._demo import run_demo
-from heatherpier.bench._deployment import DEPLOYMENTS
+from heatherpier.bench._deployment import DEPLOYMENTS, Deployment
+from heatherpier.bench._faults import run_faults
 from heatherpier.bench._instance_server import run_instance
+from heatherpier.bench._load_run import run_load
 from heatherpier.bench._write_cost import print_write_costs
 from heatherpier.settings import InvalidSettingsError
 
@@ -29,17 +33,17 @@
     if args["writes"]:
         print_write_costs()
         return EXIT_OK
-    return _run_demo(args)
+    if args["demo"]:
+        return _run_demo(args)
+    if args["load"]:
+        return _run_load(args)
+    return _run_faults(args)
 
 
 def _run_demo(args: Mapping[str, Any]) -> int:
-    name = args["--deployment"]
-    if name not in DEPLOYMENTS:
-        known = ", ".join(DEPLOYMENTS)
-        raise InvalidSettingsError("--deployment", [f"expected {known}, got {name!r}"])
     broken = asyncio.run(
         run_demo(
-            DEPLOYMENTS[name],
+            _deployment(args),
             proxies=_integer(args, "--proxies", least=1),
             seed=_seed(args),
         )
@@ -47,6 +51,34 @@
     return EXIT_FAILED if broken else EXIT_OK
 
 
+def _run_load(args: Mapping[str, Any]) -> int:
+    summary = asyncio.run(
+        run_load(
+            _deployment(args),
+            proxies=_integer(args, "--proxies", least=1),
+            rate=_integer(args, "--rate", least=1),
+            duration_s=_integer(args, "--seconds", least=1),
+            seed=_seed(args),
+        )
+    )
+    print(json.dumps(dataclasses.asdict(summary), indent=1))
+    return EXIT_OK
+
+
+def _run_faults(args: Mapping[str, Any]) -> int:
+    first = 0 if args["--seed"] is None else _seed(args)
+    failed = run_faults(first=first, count=_integer(args, "--seeds", least=1))
+    return EXIT_FAILED if failed else EXIT_OK
+
+
+def _deployment(args: Mapping[str, Any]) -> Deployment:
+    name = args["--deployment"]
+    if name not in DEPLOYMENTS:
+        known = ", ".join(DEPLOYMENTS)
+        raise InvalidSettingsError("--deployment", [f"expected {known}, got {name!r}"])
+    return DEPLOYMENTS[name]
+
+
 def _seed(args: Mapping[str, Any]) -> int:
     if args["--seed"] is None:
         return random.SystemRandom().randrange(SEEDS)
--- a/src/heatherpier/bench/_demo.py
+++ b/src/heatherpier/bench/_demo.py
@@ -16,10 +16,10 @@
     check_group,
     check_stop,
 )
-from heatherpier.bench._deployment import DEMO_PASSWORD, Deployment
-from heatherpier.bench._driver import MysqlEndpoint
+from heatherpier.bench._deployment import Deployment
 from heatherpier.bench._fleet import Fleet, start_fleet
 from heatherpier.bench._load import Load, LoadResult, LoadSpec
+from heatherpier.bench._load_run import caller_endpoints
 from heatherpier.bench._mixes import MIXES
 from heatherpier.bench._monitor import ReadMonitor, read_group_log
 from heatherpier.bench._processes import Processes
@@ -34,7 +34,9 @@
 RESUME_PRIMARY_S = 19.0
 STOP_PROXY_S = 23.0
 KILL_PROXY_S = 28.0
-SETTLE_S = 1.0
+STOP_WINDOW_S = 4.0
+LEAST_IN_FLIGHT = 3
+POLL_S = 0.001
 SHOWN_PER_FAULT = 5
 
 
@@ -92,16 +94,7 @@
             duration_s=DURATION_S,
             seed=seed,
         )
-        endpoints = [
-            MysqlEndpoint(
-                name=proxy.name,
-                port=proxy.port,
-                user=deployment.user,
-                password=DEMO_PASSWORD,
-            )
-            for proxy in fleet.proxies
-        ]
-        self._load = Load(spec, proxies=list(endpoints))
+        self._load = Load(spec, proxies=list(caller_endpoints(fleet)))
 
     async def run(self) -> int:
         """Drives, breaks and checks; returns the count of broken promises."""
@@ -112,9 +105,9 @@
         breaking = asyncio.create_task(self._break())
         result = await self._load.run()
         await breaking
+        await monitor.settle()
         watching.cancel()
         await asyncio.gather(watching, return_exceptions=True)
-        await asyncio.sleep(SETTLE_S)
         violations = await self._check(result)
         _print_violations(violations)
         unserved = unserved_classes(result)
@@ -178,7 +171,12 @@
         return int(row[2]) if row[1] == Role.PRIMARY.value else 0
 
     async def _stop(self, proxy: str) -> None:
-        self._tell(f"stop {proxy}")
+        in_flight = self._load.result.history.in_flight
+        latest = self._now() + STOP_WINDOW_S
+        # A stop that meets no running request would prove nothing.
+        while in_flight[proxy] < LEAST_IN_FLIGHT and self._now() < latest:
+            await asyncio.sleep(POLL_S)
+        self._tell(f"stop {proxy} with {in_flight[proxy]} statements in flight")
         since = self._now()
         await self._fleet.processes.stop(proxy)
         self._stops.append(Stop(proxy=proxy, since=since, until=self._now()))
--- a/src/heatherpier/bench/_history.py
+++ b/src/heatherpier/bench/_history.py
@@ -1,5 +1,6 @@
 """What callers saw, as typed records that the checker reads."""
 
+from collections import Counter
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -130,7 +131,17 @@
 
 @dataclass(slots=True)
 class History:
-    """Everything that the callers of one run saw."""
+    """Everything that the callers of one run saw.
+
+    Attributes:
+        writes: Writes and transactions that have ended.
+        reads: Answered reads that must see the session's writes.
+        aged_reads: Answered reads of stated age.
+        failed_reads: Tries of reads that got no rows.
+        cuts: Statements that got no answer.
+        sent: Count of statements sent.
+        in_flight: Count of statements that wait for an answer, by proxy.
+    """
 
     writes: list[WriteRecord] = field(default_factory=list)
     reads: list[ReadRecord] = field(default_factory=list)
@@ -138,6 +149,7 @@
     failed_reads: list[FailedRead] = field(default_factory=list)
     cuts: list[CutRecord] = field(default_factory=list)
     sent: int = 0
+    in_flight: Counter[str] = field(default_factory=Counter)
 
     def acknowledged(self, group: str) -> list[WriteRecord]:
         """Returns the acknowledged writes of ``group`` by the time of their answers."""
@@ -147,3 +159,12 @@
             if item.group == group and item.outcome is Outcome.ACKNOWLEDGED
         ]
         return sorted(found, key=lambda item: item.ended)
+
+    def served(self) -> Counter[StatementClass]:
+        """Returns the count of operations that ended as they should, by class."""
+        counts = Counter(
+            item.kind for item in self.writes if item.outcome is Outcome.ACKNOWLEDGED
+        )
+        counts[StatementClass.SESSION_READ] = len(self.reads)
+        counts[StatementClass.AGED_READ] = len(self.aged_reads)
+        return counts
--- a/src/heatherpier/bench/_monitor.py
+++ b/src/heatherpier/bench/_monitor.py
@@ -120,6 +120,10 @@
             except UpstreamError:
                 await asyncio.sleep(COUNTER_PERIOD_S)
 
+    async def settle(self) -> None:
+        """Returns after every live instance has been asked once more."""
+        await asyncio.sleep(2 * COUNTER_PERIOD_S)
+
     def total(self) -> ReadCounts:
         """Returns the sum over all instances."""
         return sum(self._counts.values(), ReadCounts())
--- a/src/heatherpier/bench/_report.py
+++ b/src/heatherpier/bench/_report.py
@@ -47,19 +47,10 @@
 
 def unserved_classes(result: LoadResult) -> list[StatementClass]:
     """Returns the classes of which nothing was served, so nothing was checked."""
-    served = _served(result.history)
+    served = result.history.served()
     return [kind for kind in result.arrivals if not served[kind]]
 
 
-def _served(history: History) -> Counter[StatementClass]:
-    served = Counter(
-        item.kind for item in history.writes if item.outcome is Outcome.ACKNOWLEDGED
-    )
-    served[StatementClass.SESSION_READ] = len(history.reads)
-    served[StatementClass.AGED_READ] = len(history.aged_reads)
-    return served
-
-
 def format_report(
     *,
     result: LoadResult,
@@ -89,7 +80,7 @@
 
 
 def _class_rows(result: LoadResult) -> Iterable[tuple[str, str]]:
-    served = _served(result.history)
+    served = result.history.served()
     for kind, delays in result.delays.items():
         median, slow = (delays.get_value_at_percentile(share) for share in (50, 99))
         yield (
