--- a/src/heatherpier/bench/_fault_run.py
+++ b/src/heatherpier/bench/_fault_run.py
@@ -19,7 +19,7 @@
 from heatherpier.reads import Reader
 from heatherpier.sessions import TokenSigner
 from heatherpier.timers import LoopTimers, VirtualTimeLoop
-from heatherpier.writes import Writer
+from heatherpier.writes import KeyMaker, Writer
 
 DURATION_S = 14.0
 RATE = 20.0
@@ -132,7 +132,9 @@
         self._views[name] = view
         address = self.group.instances[rank].address
         reader = Reader(timers=self.timers, data_centre=address.data_centre)
-        writer = Writer(timers=self.timers)
+        rng = random.Random(f"{name}/{self._rng.random()}")
+        keys = KeyMaker(proxy=name, rng=rng, timers=self.timers)
+        writer = Writer(timers=self.timers, keys=keys, rng=rng)
         signer = TokenSigner(deployment="faults", keys=(TOKEN_KEY,))
 
         def open_session() -> Session:
--- a/src/heatherpier/bench/_operations.py
+++ b/src/heatherpier/bench/_operations.py
@@ -20,6 +20,7 @@
 )
 from heatherpier.bench._mixes import ROWS_PER_GROUP, Mix
 from heatherpier.requests import (
+    AlreadyRunError,
     NotRunError,
     OutcomeUnknownError,
     OverloadedError,
@@ -32,8 +33,7 @@
 TRANSACTION_PARTS = 2
 # Rows that sessions claim from at the same time, so that some meet.
 CLAIM_SPREAD = 20
-ALREADY_RUN = 7007
-MAYBE_RUN = frozenset({OutcomeUnknownError.code, ALREADY_RUN, SERVER_SHUTDOWN})
+MAYBE_RUN = frozenset({OutcomeUnknownError.code, AlreadyRunError.code, SERVER_SHUTDOWN})
 REPEAT_READ = frozenset({NotRunError.code, TooStaleError.code})
 TRY_AGAIN = frozenset(
     {
