Keep answers in order on connections in memory, and let COMMITs arrive late

Cause: a statement given up by its sender never took effect in memory, and an answer could only reach its own statement, so crossed answers could not occur.

Change: statements of one connection run and answer in order; an answer that nobody waited for stays unread for the next statement; a COMMIT on its way when the connection is closed still takes effect; messages over a cut path are delivered after it heals, up to 5 s; answers can come twice (`InstanceFaults.double_answers`); peers have places, and messages between data centres take `MemoryNetwork.far_s`.

--- a/src/heatherpier/bench/_fault_run.py
+++ b/src/heatherpier/bench/_fault_run.py
@@ -131,8 +131,8 @@
         view = self.group.watch(name, rank=rank)
         self._views[name] = view
         address = self.group.instances[rank].address
-        reader = Reader(timers=self.timers, data_centre=address.data_centre)
         rng = random.Random(f"{name}/{self._rng.random()}")
+        reader = Reader(timers=self.timers, data_centre=address.data_centre, rng=rng)
         keys = KeyMaker(proxy=name, rng=rng, timers=self.timers)
         writer = Writer(timers=self.timers, keys=keys, rng=rng)
         signer = TokenSigner(deployment="faults", keys=(TOKEN_KEY,))
--- a/src/heatherpier/bench/_instance.py
+++ b/src/heatherpier/bench/_instance.py
@@ -41,6 +41,7 @@
         slow_ms: Extra delay of each statement.
         work_ms: Time that a statement on data holds its slot.
         drop_answers: Count of coming COMMIT answers that are lost after the effect.
+        double_answers: Count of coming answers that arrive twice.
         late_commit_ms: The next COMMIT arrives this much later, after its
             connection was lost; 0 for none.
         lose_answers_to: Count of coming answers that are lost after the effect, by
@@ -55,6 +56,7 @@
     slow_ms: int = 0
     work_ms: int = 0
     drop_answers: int = 0
+    double_answers: int = 0
     late_commit_ms: int = 0
     lose_answers_to: dict[str, int] = field(default_factory=dict)
     refuse_connections: bool = False
--- a/src/heatherpier/bench/_memory.py
+++ b/src/heatherpier/bench/_memory.py
@@ -1,19 +1,15 @@
 """A network in memory between callers of `Connector` and stand-in instances."""
 
 import asyncio
-import contextlib
 from collections.abc import Coroutine
 from typing import Any
 
-from heatherpier.bench._dialog import Dialog
 from heatherpier.bench._instance import Instance
+from heatherpier.bench._memory_connection import MemoryConnection
 from heatherpier.timers import Timers
 from heatherpier.upstreams import (
     ConnectError,
     Connection,
-    ConnectionLostError,
-    Result,
-    StatementError,
     TooManyConnectionsError,
 )
 from heatherpier.upstreams import Instance as Address
@@ -24,8 +20,13 @@
 
     Args:
         timers: Timer service.
-        delay_s: One-way delay of each message.
-        connect_s: Time that a new connection takes.
+        delay_s: One-way delay of each message, in seconds.
+        connect_s: Time that a new connection takes, in seconds.
+
+    Attributes:
+        places: Data centres by peer. Between peers of two data centres the
+            one-way delay is `far_s`.
+        far_s: One-way delay between two data centres, in seconds.
     """
 
     def __init__(
@@ -34,21 +35,35 @@
         self.timers = timers
         self.delay_s = delay_s
         self.connect_s = connect_s
+        self.far_s = delay_s
+        self.places: dict[str, str] = {}
         self.instances: dict[str, Instance] = {}
-        self.open: dict[str, set[_MemoryConnection]] = {}
+        # In the order of their opening, so that a seed replays.
+        self.open: dict[str, dict[MemoryConnection, None]] = {}
         self._cuts: set[frozenset[str]] = set()
         self._tasks: set[asyncio.Task[None]] = set()
 
     def add(self, instance: Instance) -> None:
         """Makes ``instance`` reachable."""
         self.instances[instance.name] = instance
-        self.open[instance.name] = set()
+        self.open[instance.name] = {}
+        self.places[instance.name] = instance.address.data_centre
+
+    def one_way_s(self, peer: str, target: Instance) -> float:
+        """Returns the time that a message travels, in seconds."""
+        place = self.places.get(peer, target.address.data_centre)
+        return self.delay_s if place == target.address.data_centre else self.far_s
 
-    def spawn(self, work: Coroutine[Any, Any, None]) -> None:
+    def spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         """Runs ``work`` apart from the connection that caused it."""
         task = asyncio.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        return task
+
+    def forget(self, instance: str, conn: MemoryConnection) -> None:
+        """Takes in that a connection is closed."""
+        self.open[instance].pop(conn, None)
 
     def connector(self, peer: str) -> "MemoryConnector":
         """Returns a connector that acts for ``peer``."""
@@ -89,6 +104,8 @@
         network = self._network
         await network.timers.sleep(network.connect_s)
         target = network.instances.get(instance.name)
+        if target is not None:
+            await network.timers.sleep(2 * network.one_way_s(self._peer, target))
         if target is None or target.faults.refuse_connections:
             raise ConnectError(f"{instance.name}: connection refused")
         if network.is_cut(self._peer, instance.name):
@@ -96,67 +113,6 @@
         await target.until_resumed()
         if len(network.open[instance.name]) >= target.connection_limit:
             raise TooManyConnectionsError(f"{instance.name}: too many connections")
-        conn = _MemoryConnection(network, peer=self._peer, target=target)
-        network.open[instance.name].add(conn)
+        conn = MemoryConnection(network, peer=self._peer, target=target)
+        network.open[instance.name][conn] = None
         return conn
-
-
-class _MemoryConnection:
-    """One connection in memory."""
-
-    def __init__(self, network: MemoryNetwork, *, peer: str, target: Instance) -> None:
-        self._network = network
-        self._peer = peer
-        self._target = target
-        self._dialog = Dialog(target)
-        self._broken = asyncio.Event()
-        self.silent = False
-
-    async def execute(self, sql: str) -> Result:
-        await self._travel()
-        if sql.startswith("COMMIT") and self._target.faults.late_commit_ms:
-            self._commit_late()
-            raise ConnectionLostError(f"{self._target.name}: connection reset")
-        work = asyncio.ensure_future(self._dialog.execute(sql))
-        broken = asyncio.ensure_future(self._broken.wait())
-        try:
-            await asyncio.wait({work, broken}, return_when=asyncio.FIRST_COMPLETED)
-            if not work.done():
-                raise ConnectionLostError(f"{self._target.name}: connection reset")
-            if self._target.faults.takes_answer(sql):
-                await work
-                self.break_off()
-            result = work.result()
-        finally:
-            work.cancel()
-            broken.cancel()
-        await self._travel()
-        return result
-
-    def _commit_late(self) -> None:
-        faults = self._target.faults
-        delay_s, faults.late_commit_ms = faults.late_commit_ms / 1000, 0
-        self._network.spawn(self._commit_after(delay_s, dialog=self._dialog))
-        self._dialog = Dialog(self._target)
-
-    async def _commit_after(self, delay_s: float, *, dialog: Dialog) -> None:
-        await self._network.timers.sleep(delay_s)
-        with contextlib.suppress(StatementError):
-            await dialog.execute("COMMIT")
-
-    async def _travel(self) -> None:
-        await self._network.timers.sleep(self._network.delay_s)
-        if self.silent or self._network.is_cut(self._peer, self._target.name):
-            await self._broken.wait()
-        if self._broken.is_set():
-            raise ConnectionLostError(f"{self._target.name}: connection reset")
-
-    def break_off(self) -> None:
-        """Closes the connection from the instance's side."""
-        self._broken.set()
-        self._dialog.rollback()
-        self._network.open[self._target.name].discard(self)
-
-    def abort(self) -> None:
-        if not self._broken.is_set():
-            self.break_off()
