Give the stand-ins the distances and the connection limit of the deployments

Messages between two data centres take 12 ms one way, told by the caller's program_name over sockets and by the peer's place in memory; callers are 3 ms (Sen Vang) and 1 ms (Lantern Ledger) from a proxy. The limit of connections counts neither replication nor the bench, which have ports of their own at a real instance: before, four proxies with their full share left no room for replication. A refusal carries error 1040 after the handshake.

--- a/src/heatherpier/bench/_deployment.py
+++ b/src/heatherpier/bench/_deployment.py
@@ -21,6 +21,9 @@
         connections: Connections that an instance accepts.
         slots: Statements that an instance runs at once.
         lag_ms: Replication delay in milliseconds.
+        far_ms: One-way delay between two data centres, each in its own region,
+            in milliseconds.
+        caller_ms: One-way delay between callers and proxies in milliseconds.
     """
 
     name: str
@@ -31,6 +34,8 @@
     connections: int = 20
     slots: int = 3
     lag_ms: int = 50
+    far_ms: int = 12
+    caller_ms: int = 3
 
     def group_names(self) -> list[str]:
         """Returns the names of the database groups."""
@@ -65,6 +70,7 @@
     user="ledger",
     data_centres=("taipei-a", "taichung-a", "kaohsiung-a"),
     connections=40,
+    caller_ms=1,
 )
 DEPLOYMENTS = {item.name: item for item in (SEN_VANG, LANTERN_LEDGER)}
 
--- a/src/heatherpier/bench/_driver.py
+++ b/src/heatherpier/bench/_driver.py
@@ -85,12 +85,14 @@
         port: Its port on loopback.
         user: Caller's user name.
         password: Caller's password.
+        one_way_s: One-way delay to the proxy in seconds.
     """
 
     name: str
     port: int
     user: str
     password: str
+    one_way_s: float = 0.0
 
     async def connect(self, database: str) -> CallerConnection:
         """Opens a connection by ``asyncmy``."""
@@ -111,17 +113,24 @@
         except (OSError, EOFError, driver_errors.MySQLError) as exc:
             sock.close()
             raise UnreachableError(f"{self.name}: {exc!r}") from exc
-        return _MysqlCaller(conn, sock)
+        return _MysqlCaller(conn, sock, one_way_s=self.one_way_s)
 
 
 class _MysqlCaller:
     """A caller's connection by ``asyncmy``."""
 
-    def __init__(self, conn: Any, sock: socket.socket) -> None:
+    def __init__(self, conn: Any, sock: socket.socket, *, one_way_s: float) -> None:
         self._conn = conn
         self._sock = sock
+        self._one_way_s = one_way_s
 
     async def execute(self, sql: str) -> Result:
+        try:
+            return await self._execute(sql)
+        finally:
+            await asyncio.sleep(2 * self._one_way_s)
+
+    async def _execute(self, sql: str) -> Result:
         try:
             async with asyncio.timeout(ANSWER_TIMEOUT_S), self._conn.cursor() as cursor:
                 await cursor.execute(sql)
--- a/src/heatherpier/bench/_fault_run.py
+++ b/src/heatherpier/bench/_fault_run.py
@@ -26,6 +26,7 @@
 PROXIES = 3
 DEADLINE_MS = 5000
 SETTLE_S = 10.0
+FAR_S = 0.012
 WALL_OFFSET_S = 1_700_000_000
 TOKEN_KEY = bytes(range(16))
 USUAL_LAG_MS = 50
@@ -114,6 +115,7 @@
     def __init__(self, seed: int) -> None:
         self.timers = LoopTimers(wall_offset_s=WALL_OFFSET_S)
         self.group: MemoryGroup = start_memory_group(self.timers, lag_ms=USUAL_LAG_MS)
+        self.group.network.far_s = FAR_S
         self._rng = random.Random(f"{seed}/bench")
         self._views: dict[str, Group] = {}
         self.proxies = [self._add_proxy(number) for number in range(PROXIES)]
@@ -131,6 +133,7 @@
         view = self.group.watch(name, rank=rank)
         self._views[name] = view
         address = self.group.instances[rank].address
+        self.group.network.places[name] = address.data_centre
         rng = random.Random(f"{name}/{self._rng.random()}")
         reader = Reader(timers=self.timers, data_centre=address.data_centre, rng=rng)
         keys = KeyMaker(proxy=name, rng=rng, timers=self.timers)
--- a/src/heatherpier/bench/_fleet.py
+++ b/src/heatherpier/bench/_fleet.py
@@ -94,6 +94,7 @@
             "slots": deployment.slots,
             "connections": deployment.connections,
             "lag_ms": deployment.lag_ms,
+            "far_ms": deployment.far_ms,
         },
         port=model["port"],
     )
--- a/src/heatherpier/bench/_instance_server.py
+++ b/src/heatherpier/bench/_instance_server.py
@@ -6,18 +6,22 @@
 from typing import Any
 
 from mysql_mimic import ColumnType, MysqlServer, ResultColumn, ResultSet
-from mysql_mimic.control import LocalControl, TooManyConnections
 from mysql_mimic.errors import MysqlError
 from mysql_mimic.session import BaseSession
 from mysql_mimic.variables import GlobalVariables, SessionVariables
 
+from heatherpier.bench._admission import (
+    CountingControl,
+    LimitedUsers,
+    data_centre_of,
+)
 from heatherpier.bench._dialog import Dialog
 from heatherpier.bench._instance import Instance
 from heatherpier.bench._settings import InstanceSettings, load_instance_settings
 from heatherpier.callers import PacketAdapter
 from heatherpier.timers import LoopTimers
 from heatherpier.upstreams import Instance as Address
-from heatherpier.upstreams import MysqlConnector, StatementError
+from heatherpier.upstreams import MysqlConnector, Result, StatementError
 
 CONNECT_S = 0.012
 
@@ -34,7 +38,9 @@
         _address(cfg, cfg.name),
         peers=[_address(cfg, peer.name) for peer in cfg.instances],
         connector=MysqlConnector(
-            user="replication", password="", program_name=f"instance/{cfg.name}"
+            user="replication",
+            password="",
+            program_name=f"instance/{_address(cfg, cfg.name).data_centre}/{cfg.name}",
         ),
         timers=timers,
         slots=cfg.slots,
@@ -45,7 +51,7 @@
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         asyncio.get_running_loop().add_signal_handler(number, stop.set)
-    server = await serve_instance(instance)
+    server = await serve_instance(instance, far_s=cfg.far_ms / 1000)
     replication = asyncio.create_task(instance.replicate())
     await stop.wait()
     replication.cancel()
@@ -62,44 +68,43 @@
     )
 
 
-async def serve_instance(instance: Instance) -> MysqlServer:
-    """Listens at the instance's address."""
+async def serve_instance(instance: Instance, *, far_s: float = 0.0) -> MysqlServer:
+    """Listens at the instance's address.
+
+    Args:
+        instance: The instance.
+        far_s: One-way delay to callers of another data centre, in seconds.
+    """
+    control = CountingControl()
     server = MysqlServer(
-        session_factory=lambda: _InstanceSession(instance),
-        control=_LimitedControl(instance.connection_limit),
+        session_factory=lambda: _InstanceSession(instance, far_s=far_s),
+        control=control,
+        identity_provider=LimitedUsers(control, limit=instance.connection_limit),
     )
     await server.start_server(host=instance.address.host, port=instance.address.port)
     return server
 
 
-class _LimitedControl(LocalControl):
-    """Refuses connections beyond the instance's limit."""
-
-    def __init__(self, limit: int) -> None:
-        super().__init__()
-        self._limit = limit
-
-    async def add(self, connection: Any) -> int:
-        if len(self._connections) >= self._limit:
-            raise TooManyConnections
-        number: int = await super().add(connection)
-        return number
-
-
 class _InstanceSession(BaseSession):
     """One caller of the instance."""
 
-    def __init__(self, instance: Instance) -> None:
+    def __init__(self, instance: Instance, *, far_s: float) -> None:
         self.variables = SessionVariables(GlobalVariables())
         self.username = None
         self.database = None
         self._instance = instance
+        self._far_s = far_s
+        self._one_way_s = 0.0
         self._dialog = Dialog(instance)
         self._packets: PacketAdapter | None = None
 
     async def init(self, connection: Any) -> None:
         await self._instance.until_resumed()
-        await asyncio.sleep(CONNECT_S)
+        program = connection.client_connect_attrs.get("program_name", "")
+        place = data_centre_of(program)
+        if place is not None and place != self._instance.address.data_centre:
+            self._one_way_s = self._far_s
+        await asyncio.sleep(CONNECT_S + 2 * self._one_way_s)
         self._packets = PacketAdapter(connection)
         self._set_status()
 
@@ -109,7 +114,7 @@
     async def handle_query(self, sql: str, attrs: dict[str, str]) -> Any:
         assert self._packets is not None
         try:
-            result = await self._dialog.execute(sql)
+            result = await self._execute(sql)
         except StatementError as exc:
             self._packets.set_sqlstate(exc.sqlstate)
             raise MysqlError(exc.message, exc.code) from exc
@@ -127,6 +132,13 @@
         ]
         return ResultSet(rows=result.rows, columns=columns)
 
+    async def _execute(self, sql: str) -> Result:
+        await asyncio.sleep(self._one_way_s)
+        try:
+            return await self._dialog.execute(sql)
+        finally:
+            await asyncio.sleep(self._one_way_s)
+
     def _set_status(self) -> None:
         if self._packets is not None:
             self._packets.set_status(
--- a/src/heatherpier/bench/_load_run.py
+++ b/src/heatherpier/bench/_load_run.py
@@ -74,6 +74,7 @@
             port=proxy.port,
             user=fleet.deployment.user,
             password=DEMO_PASSWORD,
+            one_way_s=fleet.deployment.caller_ms / 1000,
         )
         for proxy in fleet.proxies
     ]
--- a/src/heatherpier/bench/_settings.py
+++ b/src/heatherpier/bench/_settings.py
@@ -18,6 +18,7 @@
         slots: Statements that it runs at once.
         connections: Connections that it accepts.
         lag_ms: Replication delay in milliseconds.
+        far_ms: One-way delay to another data centre in milliseconds.
     """
 
     name: str
@@ -26,6 +27,7 @@
     slots: Annotated[int, Field(ge=1)] = 3
     connections: Annotated[int, Field(ge=1)] = 20
     lag_ms: Annotated[int, Field(ge=0)] = 0
+    far_ms: Annotated[int, Field(ge=0)] = 0
 
 
 def load_instance_settings(path: Path) -> InstanceSettings:
