Close a connection on which an answer to nothing has arrived

Cause: an answer that came twice was taken for the answer of the next statement, also of another caller's.

Ruled out: sequence numbers of the protocol. They start anew with each statement, so the driver takes a whole leftover answer for a good one.

Change (upstreams, additive): `Connection.has_unread`; a pool does not lend such a connection, and a statement on it fails before it is sent. A leftover that arrives after the statement was sent can't be told from its answer.

--- a/src/heatherpier/bench/_fault_plan.py
+++ b/src/heatherpier/bench/_fault_plan.py
@@ -15,6 +15,7 @@
     LAG = "replica lags"
     REPLICATION_STOPPED = "replication stops"
     ANSWERS_LOST = "answers to COMMIT are lost after the effect"
+    ANSWERS_DOUBLED = "answers of an instance come twice"
     SILENT = "open connections go silent"
     SLOW = "instance is slow"
     PROXY_KILLED = "proxy is killed"
--- a/src/heatherpier/bench/_fault_run.py
+++ b/src/heatherpier/bench/_fault_run.py
@@ -185,6 +185,9 @@
             case FaultKind.ANSWERS_LOST:
                 faults.drop_answers = 1 + round(fault.size * MOST_ANSWERS_LOST)
                 return lambda: setattr(faults, "drop_answers", 0)
+            case FaultKind.ANSWERS_DOUBLED:
+                faults.double_answers = 1 + round(fault.size * MOST_ANSWERS_LOST)
+                return lambda: setattr(faults, "double_answers", 0)
             case FaultKind.SILENT:
                 for conn in network.open[instance.name]:
                     conn.silent = True
--- a/src/heatherpier/bench/_memory_connection.py
+++ b/src/heatherpier/bench/_memory_connection.py
@@ -14,6 +14,8 @@
 # A message that can't be delivered for this long is given up by the kernel.
 GIVE_UP_S = 5.0
 COMMIT = "COMMIT"
+# Replication between the stand-ins is no part of what is tested.
+FETCH = "CALL group_fetch"
 
 
 class Network(Protocol):
@@ -107,7 +109,7 @@
             if not await self._travel():
                 return
             self._answers.put_nowait(answer)
-            if faults.double_answers:
+            if faults.double_answers and not sql.startswith(FETCH):
                 faults.double_answers -= 1
                 self._answers.put_nowait(answer)
 
@@ -129,6 +131,10 @@
         if self._broken.is_set():
             raise ConnectionLostError(f"{self._target.name}: connection reset")
 
+    def has_unread(self) -> bool:
+        """Tells whether something has arrived that no statement waits for."""
+        return not self._answers.empty()
+
     def break_off(self) -> None:
         """Closes the connection from the instance's side."""
         self._close(keep_commit=False)
--- a/src/heatherpier/upstreams/_interface.py
+++ b/src/heatherpier/upstreams/_interface.py
@@ -61,6 +61,9 @@
             ConnectionLostError: The answer did not arrive.
         """
 
+    def has_unread(self) -> bool:
+        """Tells whether something has arrived that no statement waits for."""
+
     def abort(self) -> None:
         """Closes the connection at once, without a goodbye."""
 
--- a/src/heatherpier/upstreams/_mysql.py
+++ b/src/heatherpier/upstreams/_mysql.py
@@ -138,6 +138,11 @@
             code=code, sqlstate=exc.sqlstate or "HY000", message=str(exc.args[1])
         )
 
+    def has_unread(self) -> bool:
+        # The driver would take the leftover for the next statement's answer.
+        proto = self._conn._proto
+        return proto is not None and proto.length > proto.pos
+
     def abort(self) -> None:
         self._conn.close()
 
--- a/src/heatherpier/upstreams/_pool.py
+++ b/src/heatherpier/upstreams/_pool.py
@@ -53,6 +53,9 @@
         """
         if not self.usable:
             raise ConnectionLostError(f"{self.name}: the connection was closed before")
+        if self.has_unread():
+            self.abort()
+            raise ConnectionLostError(f"{self.name}: an answer to nothing arrived")
         self.dirty = self.dirty or leaves_state(sql)
         try:
             async with self._timers.timeout(timeout_s):
@@ -68,6 +71,10 @@
             self.abort()
             raise
 
+    def has_unread(self) -> bool:
+        """Tells whether an answer has arrived that no statement waits for."""
+        return self._conn.has_unread()
+
     def abort(self) -> None:
         """Closes the connection so that a late answer can reach nobody."""
         self.usable = False
@@ -138,6 +145,9 @@
     async def _checkout(self, *, timeout_s: float) -> PooledConnection:
         while self._idle:
             idle_since, conn = self._idle.pop()
+            if conn.has_unread():
+                conn.abort()
+                continue
             if self._timers.now() - idle_since < IDLE_CHECK_S:
                 return conn
             if await self._still_works(conn):
--- a/src/heatherpier/writes/tests/traps.py
+++ b/src/heatherpier/writes/tests/traps.py
@@ -61,6 +61,9 @@
             return result
         return await self.conn.execute(sql)
 
+    def has_unread(self):
+        return self.conn.has_unread()
+
     def abort(self):
         self.conn.abort()
 
