Let distance in memory make a difference only where it is set

Cause: a network whose delay was set after it was made kept the first delay between instances, and each connection took one round trip more, so the comparison of failure detection ran into its limit. Found by test_fixed_timeout_misses_the_bound; it passes again, as before the change.

--- a/src/heatherpier/bench/_memory.py
+++ b/src/heatherpier/bench/_memory.py
@@ -26,7 +26,8 @@
     Attributes:
         places: Data centres by peer. Between peers of two data centres the
             one-way delay is `far_s`.
-        far_s: One-way delay between two data centres, in seconds.
+        far_s: One-way delay between two data centres, in seconds, or None if
+            distance makes no difference.
     """
 
     def __init__(
@@ -35,7 +36,7 @@
         self.timers = timers
         self.delay_s = delay_s
         self.connect_s = connect_s
-        self.far_s = delay_s
+        self.far_s: float | None = None
         self.places: dict[str, str] = {}
         self.instances: dict[str, Instance] = {}
         # In the order of their opening, so that a seed replays.
@@ -51,8 +52,17 @@
 
     def one_way_s(self, peer: str, target: Instance) -> float:
         """Returns the time that a message travels, in seconds."""
-        place = self.places.get(peer, target.address.data_centre)
-        return self.delay_s if place == target.address.data_centre else self.far_s
+        return self.delay_s if self._is_near(peer, target) else self.far_s or 0.0
+
+    def connect_delay_s(self, peer: str, target: Instance | None) -> float:
+        """Returns the time that a new connection takes, in seconds."""
+        if target is None or self._is_near(peer, target):
+            return self.connect_s
+        return self.connect_s + 2 * self.one_way_s(peer, target)
+
+    def _is_near(self, peer: str, target: Instance) -> bool:
+        place = target.address.data_centre
+        return self.far_s is None or self.places.get(peer, place) == place
 
     def spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         """Runs ``work`` apart from the connection that caused it."""
@@ -102,10 +112,8 @@
     async def connect(self, instance: Address) -> Connection:
         """Opens a connection."""
         network = self._network
-        await network.timers.sleep(network.connect_s)
         target = network.instances.get(instance.name)
-        if target is not None:
-            await network.timers.sleep(2 * network.one_way_s(self._peer, target))
+        await network.timers.sleep(network.connect_delay_s(self._peer, target))
         if target is None or target.faults.refuse_connections:
             raise ConnectError(f"{instance.name}: connection refused")
         if network.is_cut(self._peer, instance.name):
--- a/src/heatherpier/bench/_write_cost.py
+++ b/src/heatherpier/bench/_write_cost.py
@@ -75,6 +75,9 @@
         self._counter.statements += 1
         return await self._conn.execute(sql)
 
+    def has_unread(self) -> bool:
+        return self._conn.has_unread()
+
     def abort(self) -> None:
         self._conn.abort()
 
