--- a/src/heatherpier/bench/_fault_run.py
+++ b/src/heatherpier/bench/_fault_run.py
@@ -16,6 +16,7 @@
 from heatherpier.bench._memory_callers import MemoryEndpoint
 from heatherpier.bench._mixes import BOOKINGS, Mix
 from heatherpier.groups import Group
+from heatherpier.limits import Admission
 from heatherpier.reads import Reader
 from heatherpier.sessions import TokenSigner
 from heatherpier.timers import LoopTimers, VirtualTimeLoop
@@ -135,9 +136,15 @@
         address = self.group.instances[rank].address
         self.group.network.places[name] = address.data_centre
         rng = random.Random(f"{name}/{self._rng.random()}")
-        reader = Reader(timers=self.timers, data_centre=address.data_centre, rng=rng)
+        admission = Admission(timers=self.timers, proxies=PROXIES)
+        reader = Reader(
+            timers=self.timers,
+            data_centre=address.data_centre,
+            rng=rng,
+            admission=admission,
+        )
         keys = KeyMaker(proxy=name, rng=rng, timers=self.timers)
-        writer = Writer(timers=self.timers, keys=keys, rng=rng)
+        writer = Writer(timers=self.timers, keys=keys, rng=rng, admission=admission)
         signer = TokenSigner(deployment="faults", keys=(TOKEN_KEY,))
 
         def open_session() -> Session:
