--- a/src/heatherpier/_cli.py
+++ b/src/heatherpier/_cli.py
@@ -11,6 +11,7 @@
   heatherpier bench load [--deployment=NAME] [--proxies=N] [--rate=N] [--seconds=N]
                          [--seed=N]
   heatherpier bench faults [--seeds=N] [--seed=N]
+  heatherpier bench cost
   heatherpier version
   heatherpier (-h | --help)
 
--- a/src/heatherpier/bench/_commands.py
+++ b/src/heatherpier/bench/_commands.py
@@ -33,6 +33,8 @@
     if args["writes"]:
         print_write_costs()
         return EXIT_OK
+    if args["cost"]:
+        return _run_cost()
     if args["demo"]:
         return _run_demo(args)
     if args["load"]:
@@ -65,6 +67,14 @@
     return EXIT_OK
 
 
+def _run_cost() -> int:
+    # psutil is needed by this command alone and is no requirement of the proxy.
+    from heatherpier.bench._cost import measure_cost
+
+    print(json.dumps(dataclasses.asdict(asyncio.run(measure_cost())), indent=1))
+    return EXIT_OK
+
+
 def _run_faults(args: Mapping[str, Any]) -> int:
     first = 0 if args["--seed"] is None else _seed(args)
     failed = run_faults(first=first, count=_integer(args, "--seeds", least=1))
--- a/src/heatherpier/bench/_engine.py
+++ b/src/heatherpier/bench/_engine.py
@@ -1,6 +1,7 @@
 """The data of one stand-in instance: SQLite in memory, replayed from a log."""
 
 import functools
+import json
 import sqlite3
 from collections.abc import Iterable
 from dataclasses import dataclass
@@ -35,6 +36,11 @@
     statements: tuple[str, ...]
 
 
+def log_to_json(entries: Iterable[LogEntry]) -> str:
+    """Returns entries of a log as JSON."""
+    return json.dumps([[e.term, e.index, list(e.statements)] for e in entries])
+
+
 class Engine:
     """Two copies of the data: what is committed and what a transaction sees.
 
--- a/src/heatherpier/bench/_operations.py
+++ b/src/heatherpier/bench/_operations.py
@@ -4,11 +4,9 @@
 import random
 from collections.abc import Awaitable, Callable
 
-from heatherpier.bench._caller import SERVER_SHUTDOWN, CallerSession
+from heatherpier.bench._caller import CallerSession
 from heatherpier.bench._driver import (
-    AnsweredError,
     CallerError,
-    UnreachableError,
 )
 from heatherpier.bench._history import (
     AgedReadRecord,
@@ -19,30 +17,13 @@
     WriteRecord,
 )
 from heatherpier.bench._mixes import ROWS_PER_GROUP, Mix
-from heatherpier.requests import (
-    AlreadyRunError,
-    NotRunError,
-    OutcomeUnknownError,
-    OverloadedError,
-    ReadOnlyError,
-    TooStaleError,
-)
+from heatherpier.bench._outcomes import REPEAT_READ, is_final, outcome_after
 from heatherpier.upstreams import Result
 
 GIVE_UP_S = 15.0
 TRANSACTION_PARTS = 2
 # Rows that sessions claim from at the same time, so that some meet.
 CLAIM_SPREAD = 20
-MAYBE_RUN = frozenset({OutcomeUnknownError.code, AlreadyRunError.code, SERVER_SHUTDOWN})
-REPEAT_READ = frozenset({NotRunError.code, TooStaleError.code})
-TRY_AGAIN = frozenset(
-    {
-        OutcomeUnknownError.code,
-        OverloadedError.code,
-        ReadOnlyError.code,
-        SERVER_SHUTDOWN,
-    }
-)
 
 
 class Operations:
@@ -97,9 +78,9 @@
                 break
             except CallerError as exc:
                 if outcome is not Outcome.ACKNOWLEDGED:
-                    outcome, code = _after_failure(outcome, exc)
+                    outcome, code = outcome_after(outcome, exc)
                     ended = self._now()
-                if _is_final(exc):
+                if is_final(exc):
                     break
                 await session.back_off(exc)
         if told and kind is StatementClass.WRITE:
@@ -164,7 +145,7 @@
             await self.session.continue_transaction("COMMIT")
         except CallerError as exc:
             self.session.drop_link()
-            return _after_failure(Outcome.NOT_RUN, exc)
+            return outcome_after(Outcome.NOT_RUN, exc)
         return Outcome.ACKNOWLEDGED, 0
 
     def _record_write(
@@ -258,7 +239,7 @@
                     return
                 code = getattr(exc, "code", 0)
                 self._record_failed_read(kind, code)
-                if _is_final(exc) and code not in REPEAT_READ:
+                if is_final(exc) and code not in REPEAT_READ:
                     return
                 await self.session.back_off(exc)
         self._record_failed_read(kind, 0)
@@ -269,22 +250,3 @@
                 group=self.session.place.group, kind=kind, at=self._now(), code=code
             )
         )
-
-
-def _after_failure(before: Outcome, exc: CallerError) -> tuple[Outcome, int]:
-    match exc:
-        case UnreachableError():
-            return before, 0
-        case AnsweredError(code=code) if code == NotRunError.code:
-            return Outcome.NOT_RUN, code
-        case AnsweredError(code=code) if code not in MAYBE_RUN:
-            # True of this try; an earlier one may still have taken effect.
-            return before, code
-        case AnsweredError(code=code):
-            return Outcome.UNKNOWN, code
-        case _:
-            return Outcome.UNKNOWN, 0
-
-
-def _is_final(exc: CallerError) -> bool:
-    return isinstance(exc, AnsweredError) and exc.code not in TRY_AGAIN
--- a/src/heatherpier/upstreams/tests/test_pool.py
+++ b/src/heatherpier/upstreams/tests/test_pool.py
@@ -27,6 +27,9 @@
             await asyncio.Event().wait()
         return Result()
 
+    def has_unread(self):
+        return False
+
     def abort(self):
         self.aborted = True
 
