--- a/src/heatherpier/bench/_commands.py
+++ b/src/heatherpier/bench/_commands.py
@@ -1,17 +1,22 @@
 """The ``bench`` sub-commands."""
 
 import asyncio
+import dataclasses
+import json
 import random
 from collections.abc import Mapping
 from pathlib import Path
 from typing import Any
 
 from heatherpier.bench._demo import run_demo
-from heatherpier.bench._deployment import DEPLOYMENTS
 from heatherpier.bench._failover_report import print_failover
-from heatherpier.bench._instance_server import run_instance
 from heatherpier.bench._overload import run_overload
 from heatherpier.bench._read_share import READ_MIXES, run_reads
+from heatherpier.bench._deployment import DEPLOYMENTS, Deployment
+from heatherpier.bench._faults import run_faults
+from heatherpier.bench._instance_server import run_instance
+from heatherpier.bench._load_run import run_load
+from heatherpier.bench._scale import run_scale
 from heatherpier.bench._write_cost import print_write_costs
 from heatherpier.settings import InvalidSettingsError
 
@@ -32,8 +37,6 @@
     if args["writes"]:
         print_write_costs()
         return EXIT_OK
-    if args["reads"]:
-        return _run_reads(args)
     if args["failover"]:
         print_failover()
         return EXIT_OK
@@ -41,9 +44,29 @@
         proxies = _integer(args, "--proxies", least=1)
         run_overload(proxies=proxies, seed=_seed(args))
         return EXIT_OK
+    if args["cost"]:
+        return _run_cost()
+    return _run_measured(args)
+
+
+def _run_measured(args: Mapping[str, Any]) -> int:
+    if args["reads"]:
+        return _run_reads(args)
+    if args["load"]:
+        return _run_load(args)
+    if args["faults"]:
+        return _run_faults(args)
+    if args["scale"]:
+        return _run_scale(args)
     return _run_demo(args)
 
 
+def _run_scale(args: Mapping[str, Any]) -> int:
+    nodes = _integer(args, "--nodes", least=2)
+    print(json.dumps(run_scale(nodes=nodes, seed=_seed(args)).as_dict(), indent=1))
+    return EXIT_OK
+
+
 def _run_reads(args: Mapping[str, Any]) -> int:
     name = args["--deployment"]
     if name not in READ_MIXES:
@@ -55,13 +78,9 @@
 
 
 def _run_demo(args: Mapping[str, Any]) -> int:
-    name = args["--deployment"]
-    if name not in DEPLOYMENTS:
-        known = ", ".join(DEPLOYMENTS)
-        raise InvalidSettingsError("--deployment", [f"expected {known}, got {name!r}"])
     broken = asyncio.run(
         run_demo(
-            DEPLOYMENTS[name],
+            _deployment(args),
             proxies=_integer(args, "--proxies", least=1),
             seed=_seed(args),
         )
@@ -69,6 +88,42 @@
     return EXIT_FAILED if broken else EXIT_OK
 
 
+def _run_load(args: Mapping[str, Any]) -> int:
+    summary = asyncio.run(
+        run_load(
+            _deployment(args),
+            proxies=_integer(args, "--proxies", least=1),
+            rate=_integer(args, "--rate", least=1),
+            duration_s=_integer(args, "--seconds", least=1),
+            seed=_seed(args),
+        )
+    )
+    print(json.dumps(dataclasses.asdict(summary), indent=1))
+    return EXIT_OK
+
+
+def _run_cost() -> int:
+    # psutil is needed by this command alone and is no requirement of the proxy.
+    from heatherpier.bench._cost import measure_cost
+
+    print(json.dumps(dataclasses.asdict(asyncio.run(measure_cost())), indent=1))
+    return EXIT_OK
+
+
+def _run_faults(args: Mapping[str, Any]) -> int:
+    first = 0 if args["--seed"] is None else _seed(args)
+    failed = run_faults(first=first, count=_integer(args, "--seeds", least=1))
+    return EXIT_FAILED if failed else EXIT_OK
+
+
+def _deployment(args: Mapping[str, Any]) -> Deployment:
+    name = args["--deployment"]
+    if name not in DEPLOYMENTS:
+        known = ", ".join(DEPLOYMENTS)
+        raise InvalidSettingsError("--deployment", [f"expected {known}, got {name!r}"])
+    return DEPLOYMENTS[name]
+
+
 def _seed(args: Mapping[str, Any]) -> int:
     if args["--seed"] is None:
         return random.SystemRandom().randrange(SEEDS)
