--- a/src/heatherpier/configuration/tests/conftest.py
+++ b/src/heatherpier/configuration/tests/conftest.py
@@ -7,8 +7,7 @@
 
 from heatherpier.bench import MemoryFleet, MemoryPlatform
 from heatherpier.configuration import MESSAGES, Follower, Publisher, Submission
-from heatherpier.fleet import Codec, Membership, Peer
-from heatherpier.fleet._membership import MESSAGES as FLEET_MESSAGES
+from heatherpier.fleet import MEMBERSHIP_MESSAGES, Codec, Membership, Peer
 from heatherpier.settings import Document
 
 PLACES = ("north-a", "central-a", "south-a")
@@ -48,7 +47,7 @@
     def __init__(self, timers, *, count, seed=11):
         self.timers = timers
         self.rng = random.Random(seed)
-        codec = Codec((*FLEET_MESSAGES, *MESSAGES))
+        codec = Codec((*MEMBERSHIP_MESSAGES, *MESSAGES))
         self.fleet = MemoryFleet(timers=timers, codec=codec, rng=self.rng)
         self.platform = MemoryPlatform(timers=timers)
         self.publisher = Publisher(
--- a/src/heatherpier/configuration/tests/test_follower.py
+++ b/src/heatherpier/configuration/tests/test_follower.py
@@ -43,8 +43,7 @@
 async def test_data_centre_cut_from_the_store_learns_from_peers(first):
     for peer in first.peers:
         if peer.data_centre == "south-a":
-            follower = first.followers[peer.name]
-            follower._tables = follower._objects = Unreachable()
+            first.followers[peer.name].use_stores(Unreachable(), Unreachable())
     await first.submit(make_document("claims"), submission="s2", base_version=1)
     await first.timers.sleep(IN_FORCE_S)
     assert first.versions() == {2}
@@ -55,7 +54,7 @@
     first.fleet.cut("south-a", "central-a")
     for peer in first.peers:
         if peer.data_centre == "south-a":
-            first.followers[peer.name]._tables = Unreachable()
+            first.followers[peer.name].use_stores(Unreachable(), Unreachable())
     await first.submit(make_document("claims"), submission="s2", base_version=1)
     await first.timers.sleep(20)
     assert first.versions() == {1, 2}
--- a/src/heatherpier/fleet/__init__.py
+++ b/src/heatherpier/fleet/__init__.py
@@ -2,11 +2,17 @@
 
 from heatherpier.fleet._errors import FleetError, PeerUnreachableError
 from heatherpier.fleet._interface import Handler, Peer, PeerNetwork
-from heatherpier.fleet._membership import Member, Membership, State
+from heatherpier.fleet._membership import (
+    MEMBERSHIP_MESSAGES,
+    Member,
+    Membership,
+    State,
+)
 from heatherpier.fleet._messages import Codec, Message, PeerRecord
 from heatherpier.fleet._zmq import CurveKeys, ZmqPeers
 
 __all__ = [
+    "MEMBERSHIP_MESSAGES",
     "Codec",
     "CurveKeys",
     "FleetError",
--- a/src/heatherpier/fleet/_membership.py
+++ b/src/heatherpier/fleet/_membership.py
@@ -74,7 +74,7 @@
     target: str
 
 
-MESSAGES: tuple[type[Message], ...] = (Ping, Pong, PingRequest)
+MEMBERSHIP_MESSAGES: tuple[type[Message], ...] = (Ping, Pong, PingRequest)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -155,6 +155,11 @@
         """Returns all members, the dead and this proxy included."""
         return list(self._members.values())
 
+    def state_of(self, name: str) -> State:
+        """Returns what is known of a member; one not heard of is dead."""
+        member = self._members.get(name)
+        return State.DEAD if member is None else member.state
+
     def alive(self, *, data_centre: str | None = None) -> list[Peer]:
         """Returns members that may be alive, this proxy included.
 
--- a/src/heatherpier/fleet/tests/conftest.py
+++ b/src/heatherpier/fleet/tests/conftest.py
@@ -7,7 +7,7 @@
 
 from heatherpier.bench import MemoryFleet
 from heatherpier.fleet import Codec, Membership, Peer
-from heatherpier.fleet._membership import MESSAGES
+from heatherpier.fleet._membership import MEMBERSHIP_MESSAGES
 
 PLACES = ("north-a", "central-a", "south-a")
 
@@ -18,7 +18,9 @@
     def __init__(self, timers, *, count, seed=7):
         self.timers = timers
         self.rng = random.Random(seed)
-        self.fleet = MemoryFleet(timers=timers, codec=Codec(MESSAGES), rng=self.rng)
+        self.fleet = MemoryFleet(
+            timers=timers, codec=Codec(MEMBERSHIP_MESSAGES), rng=self.rng
+        )
         self.nodes = {}
         self.tasks = {}
         self.versions = {}
--- a/src/heatherpier/fleet/tests/test_messages.py
+++ b/src/heatherpier/fleet/tests/test_messages.py
@@ -5,10 +5,10 @@
 
 from heatherpier.fleet import Codec
 from heatherpier.fleet._errors import MalformedMessageError
-from heatherpier.fleet._membership import MESSAGES, Ping
+from heatherpier.fleet._membership import MEMBERSHIP_MESSAGES, Ping
 from heatherpier.fleet._messages import MAX_FRAME_BYTES, SCHEMA
 
-CODEC = Codec(MESSAGES)
+CODEC = Codec(MEMBERSHIP_MESSAGES)
 PING = Ping(updates=(), version=3)
 
 
--- a/src/heatherpier/fleet/tests/test_zmq.py
+++ b/src/heatherpier/fleet/tests/test_zmq.py
@@ -8,7 +8,7 @@
 
 from heatherpier.bench import free_ports
 from heatherpier.fleet import Codec, CurveKeys, Peer, PeerUnreachableError, ZmqPeers
-from heatherpier.fleet._membership import MESSAGES, Ping, Pong
+from heatherpier.fleet._membership import MEMBERSHIP_MESSAGES, Ping, Pong
 
 PING = Ping(updates=(), version=3)
 
@@ -26,7 +26,7 @@
 def make(name, timers, *, keys):
     (port,) = free_ports(1)
     me = Peer(name=name, host="127.0.0.1", port=port, data_centre="north-a")
-    return ZmqPeers(me, keys=keys, codec=Codec(MESSAGES), timers=timers)
+    return ZmqPeers(me, keys=keys, codec=Codec(MEMBERSHIP_MESSAGES), timers=timers)
 
 
 async def answer_ping(sender, ping):
