--- a/src/heatherpier/bench/_instance.py
+++ b/src/heatherpier/bench/_instance.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+from collections import Counter
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
@@ -38,6 +39,8 @@
         lag_ms: Delay between a commit and its arrival at this instance.
         slow_ms: Extra delay of each statement.
         drop_answers: Count of coming COMMIT answers that are lost after the effect.
+        late_commit_ms: The next COMMIT arrives this much later, after its
+            connection was lost; 0 for none.
         refuse_connections: New connections fail.
         cut_off: Names of peers that can't be reached, both ways.
     """
@@ -47,6 +50,7 @@
     lag_ms: int = 0
     slow_ms: int = 0
     drop_answers: int = 0
+    late_commit_ms: int = 0
     refuse_connections: bool = False
     cut_off: set[str] = field(default_factory=set)
 
@@ -81,6 +85,7 @@
         self.timers = timers
         self.engine = Engine()
         self.log: list[LogEntry] = []
+        self.reads: Counter[Role] = Counter()
         self.role = Role.REPLICA
         self.adopted_term = 0
         self.proposer = ""
@@ -249,6 +254,17 @@
         self._grew.set()
         self._grew = asyncio.Event()
 
+    # What the bench asks
+
+    def count_read(self, sql: str) -> None:
+        """Counts a caller's read of a table by the role it is served in."""
+        if " from " in sql.lower() and "heatherpier" not in sql.lower():
+            self.reads[self.role] += 1
+
+    def log_json(self, after: int, *, limit: int) -> str:
+        """Returns entries of the log after index ``after`` as JSON."""
+        return _to_json(self.log[after : after + limit])
+
     # Replication
 
     async def serve_fetch(self, term: int, after: LogPosition) -> Result:
@@ -263,7 +279,7 @@
         await self.wait_for(LogPosition(term, after.index + 1), timeout_s=FETCH_IDLE_S)
         self._require_log_of(term)
         entries = self.log[after.index : after.index + FETCH_LIMIT]
-        body = json.dumps([[e.term, e.index, list(e.statements)] for e in entries])
+        body = _to_json(entries)
         # A fenced primary can't know what a later one has written.
         complete = after.index + len(entries) == len(self.log)
         at_end = int(complete and self.role is Role.PRIMARY)
@@ -324,6 +340,8 @@
         if entries:
             await self._lag(conn, term)
         await self.until_resumed()
+        if self.faults.replication_stopped:
+            return
         if self.adopted_term != term or self.position != after:
             return
         self._last_contact = self.timers.now()
@@ -353,3 +371,7 @@
     def _truncate(self, length: int) -> None:
         del self.log[length:]
         self.engine.reset(self.log)
+
+
+def _to_json(entries: Sequence[LogEntry]) -> str:
+    return json.dumps([[e.term, e.index, list(e.statements)] for e in entries])
