--- a/src/heatherpier/bench/__init__.py
+++ b/src/heatherpier/bench/__init__.py
@@ -10,7 +10,8 @@
     measure_loss,
     start_failover_cluster,
 )
-from heatherpier.bench._instance import Instance, InstanceFaults
+from heatherpier.bench._faults import InstanceFaults
+from heatherpier.bench._instance import Instance
 from heatherpier.bench._instance_server import run_instance, serve_instance
 from heatherpier.bench._memory import MemoryNetwork
 from heatherpier.bench._memory_peers import MemoryFleet
--- a/src/heatherpier/bench/_engine.py
+++ b/src/heatherpier/bench/_engine.py
@@ -1,6 +1,7 @@
 """The data of one stand-in instance: SQLite in memory, replayed from a log."""
 
 import functools
+import json
 import sqlite3
 from collections.abc import Iterable
 from dataclasses import dataclass
@@ -35,6 +36,16 @@
     statements: tuple[str, ...]
 
 
+def encode_entries(entries: Iterable[LogEntry]) -> str:
+    """Returns entries as JSON."""
+    return json.dumps([[e.term, e.index, list(e.statements)] for e in entries])
+
+
+def decode_entries(text: str) -> list[LogEntry]:
+    """Returns the entries that `encode_entries` wrote."""
+    return [LogEntry(t, i, tuple(s)) for t, i, s in json.loads(text)]
+
+
 class Engine:
     """Two copies of the data: what is committed and what a transaction sees.
 
--- a/src/heatherpier/bench/_failover.py
+++ b/src/heatherpier/bench/_failover.py
@@ -1,7 +1,6 @@
 """Losses of a primary under virtual time, with callers that write all along."""
 
 import asyncio
-import contextlib
 import random
 from dataclasses import dataclass, field, replace
 from enum import Enum
@@ -11,22 +10,20 @@
 from heatherpier.bench._cluster import MemoryGroup, start_memory_group
 from heatherpier.bench._directory import MemoryDirectory
 from heatherpier.bench._instance import Instance
+from heatherpier.bench._writing_caller import (
+    STATEMENT_S,
+    WRITE_BUDGET_S,
+    WRITE_PERIOD_S,
+    WritingCaller,
+)
 from heatherpier.groups import (
     Group,
-    GroupError,
-    LogPosition,
     NotAcknowledgedError,
-    fetch_last_commit,
 )
 from heatherpier.timers import Timers
-from heatherpier.upstreams import UpstreamError
 
 REGION_DELAY_S = 0.012
 LAG_MS = 50
-WRITE_PERIOD_S = 0.02
-WRITE_BUDGET_S = 5.0
-STATEMENT_S = 1.0
-BORROW_S = 0.25
 WARM_UP_S = 2.0
 # The moment of the loss is drawn from this span after the warm-up, in seconds.
 MOMENT_S = 1.0
@@ -44,63 +41,6 @@
     CUT_FROM_REPLICAS = "cut from replicas"
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class AcknowledgedWrite:
-    """A write that a caller was told of.
-
-    Attributes:
-        value: What it inserted.
-        position: Its log position.
-        at: Monotonic time in seconds of the acknowledgement.
-    """
-
-    value: str
-    position: LogPosition
-    at: float
-
-
-class WritingCaller:
-    """Inserts one row after another through one proxy's view of a group.
-
-    Args:
-        name: Name that makes its rows unique.
-        group: The proxy's view.
-        timers: Timer service.
-    """
-
-    def __init__(self, name: str, group: Group, *, timers: Timers) -> None:
-        self.acknowledged: list[AcknowledgedWrite] = []
-        self._name = name
-        self._group = group
-        self._timers = timers
-
-    async def run(self) -> None:
-        """Writes for as long as the task runs."""
-        number = 0
-        while True:
-            number += 1
-            with contextlib.suppress(GroupError):
-                await self._write(f"{self._name}-{number}")
-            await self._timers.sleep(WRITE_PERIOD_S)
-
-    async def _write(self, value: str) -> None:
-        group = self._group
-        deadline = self._timers.now() + WRITE_BUDGET_S
-        primary = (await group.wait_for_primary(deadline=deadline)).instance
-        try:
-            async with group.pools[primary].borrow(timeout_s=BORROW_S) as conn:
-                sql = f"INSERT INTO claims VALUES ('{value}')"
-                await conn.execute(sql, timeout_s=STATEMENT_S)
-                position = await fetch_last_commit(conn, timeout_s=STATEMENT_S)
-        except UpstreamError:
-            group.report_failure(primary)
-            return
-        await group.acknowledge(position, primary=primary, deadline=deadline)
-        self.acknowledged.append(
-            AcknowledgedWrite(value=value, position=position, at=self._timers.now())
-        )
-
-
 @dataclass(slots=True)
 class FailoverCluster:
     """A group under watch by some proxies, each with a writing caller.
--- a/src/heatherpier/bench/_instance.py
+++ b/src/heatherpier/bench/_instance.py
@@ -1,13 +1,12 @@
 """One stand-in database instance: its log, its term and its replication."""
 
 import asyncio
-import json
 from collections import Counter
 from collections.abc import Coroutine, Sequence
-from dataclasses import dataclass, field
 from typing import Any
 
-from heatherpier.bench._engine import Engine, LogEntry
+from heatherpier.bench._engine import Engine, LogEntry, decode_entries, encode_entries
+from heatherpier.bench._faults import InstanceFaults
 from heatherpier.groups import InstanceStatus, LogPosition, Role
 from heatherpier.timers import Timers
 from heatherpier.upstreams import (
@@ -30,48 +29,6 @@
 NEVER_MS = 2**31
 
 
-@dataclass(slots=True)
-class InstanceFaults:
-    """Switches of one instance.
-
-    Attributes:
-        paused: Nothing is answered and nothing is done.
-        replication_stopped: No entries are fetched from the primary.
-        lag_ms: Delay between a commit and its arrival at this instance.
-        slow_ms: Extra delay of each statement.
-        work_ms: Time that a statement on data holds its slot.
-        drop_answers: Count of coming COMMIT answers that are lost after the effect.
-        late_commit_ms: The next COMMIT arrives this much later, after its
-            connection was lost; 0 for none.
-        lose_answers_to: Count of coming answers that are lost after the effect, by
-            the start of their statement.
-        refuse_connections: New connections fail.
-        cut_off: Names of peers that can't be reached, both ways.
-    """
-
-    paused: bool = False
-    replication_stopped: bool = False
-    lag_ms: int = 0
-    slow_ms: int = 0
-    work_ms: int = 0
-    drop_answers: int = 0
-    late_commit_ms: int = 0
-    lose_answers_to: dict[str, int] = field(default_factory=dict)
-    refuse_connections: bool = False
-    cut_off: set[str] = field(default_factory=set)
-
-    def takes_answer(self, sql: str) -> bool:
-        """Tells whether the answer to ``sql`` is to be lost, and counts it."""
-        if sql.startswith("COMMIT") and self.drop_answers:
-            self.drop_answers -= 1
-            return True
-        for start, left in self.lose_answers_to.items():
-            if left and sql.startswith(start):
-                self.lose_answers_to[start] = left - 1
-                return True
-        return False
-
-
 class Instance:
     """A database instance that keeps its log, term and vote over restarts.
 
@@ -318,7 +275,7 @@
 
     def log_json(self, after: int, *, limit: int) -> str:
         """Returns entries of the log after index ``after`` as JSON."""
-        return _to_json(self.log[after : after + limit])
+        return encode_entries(self.log[after : after + limit])
 
     # Replication
 
@@ -334,7 +291,7 @@
         await self.wait_for(LogPosition(term, after.index + 1), timeout_s=FETCH_IDLE_S)
         self._require_log_of(term)
         entries = self.log[after.index : after.index + FETCH_LIMIT]
-        body = _to_json(entries)
+        body = encode_entries(entries)
         # A fenced primary can't know what a later one has written.
         complete = after.index + len(entries) == len(self.log)
         at_end = int(complete and self.role is Role.PRIMARY)
@@ -402,7 +359,7 @@
             result = await conn.execute(sql)
         found, body, at_end = result.rows[0]
         read_at = self.timers.now()
-        entries = [LogEntry(t, i, tuple(s)) for t, i, s in json.loads(body)]
+        entries = decode_entries(body)
         if entries:
             await self._lag(conn, term)
         await self.until_resumed()
@@ -437,7 +394,3 @@
     def _truncate(self, length: int) -> None:
         del self.log[length:]
         self.engine.reset(self.log)
-
-
-def _to_json(entries: Sequence[LogEntry]) -> str:
-    return json.dumps([[e.term, e.index, list(e.statements)] for e in entries])
--- /dev/null
+++ b/src/heatherpier/bench/_writing_caller.py
@@ -0,0 +1,70 @@
+"""A caller that writes all along and keeps what it was told."""
+
+import contextlib
+from dataclasses import dataclass
+
+from heatherpier.groups import Group, GroupError, LogPosition, fetch_last_commit
+from heatherpier.timers import Timers
+from heatherpier.upstreams import UpstreamError
+
+WRITE_PERIOD_S = 0.02
+WRITE_BUDGET_S = 5.0
+STATEMENT_S = 1.0
+BORROW_S = 0.25
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class AcknowledgedWrite:
+    """A write that a caller was told of.
+
+    Attributes:
+        value: What it inserted.
+        position: Its log position.
+        at: Monotonic time in seconds of the acknowledgement.
+    """
+
+    value: str
+    position: LogPosition
+    at: float
+
+
+class WritingCaller:
+    """Inserts one row after another through one proxy's view of a group.
+
+    Args:
+        name: Name that makes its rows unique.
+        group: The proxy's view.
+        timers: Timer service.
+    """
+
+    def __init__(self, name: str, group: Group, *, timers: Timers) -> None:
+        self.acknowledged: list[AcknowledgedWrite] = []
+        self._name = name
+        self._group = group
+        self._timers = timers
+
+    async def run(self) -> None:
+        """Writes for as long as the task runs."""
+        number = 0
+        while True:
+            number += 1
+            with contextlib.suppress(GroupError):
+                await self._write(f"{self._name}-{number}")
+            await self._timers.sleep(WRITE_PERIOD_S)
+
+    async def _write(self, value: str) -> None:
+        group = self._group
+        deadline = self._timers.now() + WRITE_BUDGET_S
+        primary = (await group.wait_for_primary(deadline=deadline)).instance
+        try:
+            async with group.pools[primary].borrow(timeout_s=BORROW_S) as conn:
+                sql = f"INSERT INTO claims VALUES ('{value}')"
+                await conn.execute(sql, timeout_s=STATEMENT_S)
+                position = await fetch_last_commit(conn, timeout_s=STATEMENT_S)
+        except UpstreamError:
+            group.report_failure(primary)
+            return
+        await group.acknowledge(position, primary=primary, deadline=deadline)
+        self.acknowledged.append(
+            AcknowledgedWrite(value=value, position=position, at=self._timers.now())
+        )
