--- a/src/heatherpier/bench/_commands.py
+++ b/src/heatherpier/bench/_commands.py
@@ -9,13 +9,13 @@
 from typing import Any
 
 from heatherpier.bench._demo import run_demo
-from heatherpier.bench._failover_report import print_failover
-from heatherpier.bench._overload import run_overload
-from heatherpier.bench._read_share import READ_MIXES, run_reads
 from heatherpier.bench._deployment import DEPLOYMENTS, Deployment
+from heatherpier.bench._failover_report import print_failover
 from heatherpier.bench._faults import run_faults
 from heatherpier.bench._instance_server import run_instance
 from heatherpier.bench._load_run import run_load
+from heatherpier.bench._overload import run_overload
+from heatherpier.bench._read_share import READ_MIXES, run_reads
 from heatherpier.bench._scale import run_scale
 from heatherpier.bench._write_cost import print_write_costs
 from heatherpier.settings import InvalidSettingsError
