--- a/src/heatherpier/bench/_engine.py
+++ b/src/heatherpier/bench/_engine.py
@@ -1,8 +1,16 @@
 """The data of one stand-in instance: SQLite in memory, replayed from a log."""
 
+import functools
 import json
+import sqlite3
 from collections.abc import Iterable
 from dataclasses import dataclass
+from typing import Any
+
+import sqlglot
+from sqlglot import expressions as exp
+
+from heatherpier.upstreams import Column, Result, StatementError
 
 DUPLICATE_KEY = 1062
 SYNTAX_ERROR = 1064
@@ -36,3 +44,104 @@
 def decode_entries(text: str) -> list[LogEntry]:
     """Returns the entries that `encode_entries` wrote."""
     return [LogEntry(t, i, tuple(s)) for t, i, s in json.loads(text)]
+
+
+class Engine:
+    """Two copies of the data: what is committed and what a transaction sees.
+
+    Readers see the committed copy. The one writing transaction runs on the
+    other copy; its statements are replayed on the first when it commits.
+    """
+
+    def __init__(self) -> None:
+        self._committed = _open()
+        self._working = _open()
+
+    def read(self, sql: str, *, in_transaction: bool = False) -> Result:
+        """Runs a statement that changes nothing."""
+        return _run(self._working if in_transaction else self._committed, sql)
+
+    def write(self, sql: str) -> Result:
+        """Runs a statement of the writing transaction."""
+        return _run(self._working, sql)
+
+    def begin(self) -> None:
+        """Opens the writing transaction."""
+        self._working.execute("BEGIN")
+
+    def commit(self, statements: Iterable[str]) -> None:
+        """Ends the writing transaction and shows its writes to readers."""
+        self._working.execute("COMMIT")
+        for sql in statements:
+            _run(self._committed, sql)
+
+    def rollback(self) -> None:
+        """Undoes the writing transaction, if one is open."""
+        if self._working.in_transaction:
+            self._working.execute("ROLLBACK")
+
+    def apply(self, entry: LogEntry) -> None:
+        """Applies a replicated transaction."""
+        for db in (self._committed, self._working):
+            for sql in entry.statements:
+                _run(db, sql)
+
+    def reset(self, entries: Iterable[LogEntry]) -> None:
+        """Drops everything and replays ``entries``."""
+        self._committed.close()
+        self._working.close()
+        self._committed = _open()
+        self._working = _open()
+        for entry in entries:
+            self.apply(entry)
+
+
+def _open() -> sqlite3.Connection:
+    return sqlite3.connect(":memory:", isolation_level=None)
+
+
+@functools.lru_cache(maxsize=4096)
+def _translate(sql: str) -> str:
+    trees = [tree for tree in sqlglot.parse(sql, read="mysql") if tree]
+    for tree in trees:
+        # SQLite has no secondary index inside CREATE TABLE.
+        for index in list(tree.find_all(exp.IndexColumnConstraint)):
+            index.pop()
+    return ";".join(tree.sql(dialect="sqlite") for tree in trees)
+
+
+def _run(db: sqlite3.Connection, sql: str) -> Result:
+    try:
+        cursor = db.execute(_translate(sql))
+        rows = cursor.fetchall()
+    except sqlite3.IntegrityError as exc:
+        raise StatementError(
+            code=DUPLICATE_KEY, sqlstate="23000", message=str(exc)
+        ) from exc
+    except (sqlite3.Error, sqlglot.errors.SqlglotError) as exc:
+        missing = "no such table" in str(exc)
+        raise StatementError(
+            code=NO_SUCH_TABLE if missing else SYNTAX_ERROR,
+            sqlstate="42S02" if missing else "42000",
+            message=str(exc),
+        ) from exc
+    if cursor.description is None:
+        return Result(
+            affected_rows=max(cursor.rowcount, 0), last_insert_id=cursor.lastrowid or 0
+        )
+    columns = tuple(
+        Column(name=item[0], type_code=_column_type(rows, place))
+        for place, item in enumerate(cursor.description)
+    )
+    return Result(columns=columns, rows=tuple(rows))
+
+
+def _column_type(rows: list[tuple[Any, ...]], place: int) -> int:
+    value = next((row[place] for row in rows if row[place] is not None), None)
+    match value:
+        case int():
+            return LONGLONG
+        case float():
+            return DOUBLE
+        case _:
+            return VAR_STRING
