--- a/src/heatherpier/bench/_instance_faults.py
+++ b/src/heatherpier/bench/_instance_faults.py
@@ -1,4 +1,4 @@
-"""Faults that a stand-in instance can be given."""
+"""What can go wrong at a stand-in instance."""
 
 from dataclasses import dataclass, field
 
@@ -14,6 +14,7 @@
         slow_ms: Extra delay of each statement.
         work_ms: Time that a statement on data holds its slot.
         drop_answers: Count of coming COMMIT answers that are lost after the effect.
+        double_answers: Count of coming answers that arrive twice.
         late_commit_ms: The next COMMIT arrives this much later, after its
             connection was lost; 0 for none.
         lose_answers_to: Count of coming answers that are lost after the effect, by
@@ -28,6 +29,7 @@
     slow_ms: int = 0
     work_ms: int = 0
     drop_answers: int = 0
+    double_answers: int = 0
     late_commit_ms: int = 0
     lose_answers_to: dict[str, int] = field(default_factory=dict)
     refuse_connections: bool = False
