--- /dev/null
+++ b/src/heatherpier/_directory.py
@@ -0,0 +1,85 @@
+"""The directory of primaries in the platform's table service."""
+
+import msgspec
+
+from heatherpier.groups import DirectoryError, DirectoryRecord
+from heatherpier.platform import ConflictError, PlatformError, Record, TableStore
+
+KEY_PREFIX = "groups/"
+
+
+class _Entry(msgspec.Struct, frozen=True):
+    """Body of a record."""
+
+    term: int
+    primary: str
+    proposer: str
+
+
+class PlatformDirectory:
+    """Implements `heatherpier.groups.Directory` over a `TableStore`.
+
+    Args:
+        tables: The platform's table service.
+    """
+
+    def __init__(self, tables: TableStore) -> None:
+        self._tables = tables
+
+    async def read(self, group: str) -> DirectoryRecord | None:
+        """Returns the record of a group, or None if it has none.
+
+        Raises:
+            DirectoryError: No answer came.
+        """
+        stored = await self._get(group)
+        return None if stored is None else _decode(group, stored)
+
+    async def record(
+        self, record: DirectoryRecord, *, expected_term: int | None
+    ) -> bool:
+        """Replaces a group's record if the stored one is of ``expected_term``.
+
+        Returns:
+            Whether the record was stored.
+
+        Raises:
+            DirectoryError: The outcome is unknown.
+        """
+        stored = await self._get(record.group)
+        term = None if stored is None else _decode(record.group, stored).term
+        if term != expected_term:
+            return False
+        entry = _Entry(
+            term=record.term, primary=record.primary, proposer=record.proposer
+        )
+        version = 0 if stored is None else stored.version
+        try:
+            await self._tables.put(
+                Record(
+                    key=KEY_PREFIX + record.group,
+                    version=version + 1,
+                    body=msgspec.json.encode(entry),
+                )
+            )
+        except ConflictError:
+            return False
+        except PlatformError as exc:
+            raise DirectoryError(f"{record.group}: {exc}") from exc
+        return True
+
+    async def _get(self, group: str) -> Record | None:
+        try:
+            return await self._tables.get(KEY_PREFIX + group)
+        except PlatformError as exc:
+            raise DirectoryError(f"{group}: {exc}") from exc
+
+
+def _decode(group: str, stored: Record) -> DirectoryRecord:
+    try:
+        entry = msgspec.json.decode(stored.body, type=_Entry)
+    except msgspec.MsgspecError as exc:
+        raise DirectoryError(f"{group}: {exc}") from exc
+    return DirectoryRecord(
+        group=group, term=entry.term, primary=entry.primary, proposer=entry.proposer
+    )
--- a/src/heatherpier/_proxy.py
+++ b/src/heatherpier/_proxy.py
@@ -4,26 +4,27 @@
 import functools
 import random
 import signal
+from contextlib import AsyncExitStack
 
 from heatherpier import __version__
+from heatherpier._control import Control
 from heatherpier._measured import MeasuredReader, measure_gaps
+from heatherpier._registry import ServiceRegistry
 from heatherpier._session import Session
 from heatherpier._status import ProxyStatus, group_status
 from heatherpier.callers import Listener, limits_of, ssl_context_of
 from heatherpier.groups import (
     Group,
-    GroupSpec,
     Promoter,
-    connection_share,
     proposer_rank,
     start_watcher,
 )
 from heatherpier.limits import Admission
 from heatherpier.sessions import TokenSigner
-from heatherpier.settings import Document, ProxySettings, ServiceModel
+from heatherpier.settings import Document, ProxySettings
 from heatherpier.telemetry import AdminServer, JsonHandler, Metrics, get_logger
 from heatherpier.timers import LoopTimers
-from heatherpier.upstreams import Instance, MysqlConnector
+from heatherpier.upstreams import MysqlConnector
 from heatherpier.writes import KeyMaker, Writer
 
 log = get_logger("proxy")
@@ -78,50 +79,22 @@
             tls_ca=cfg.upstream_tls_ca,
             program_name=f"heatherpier/{cfg.data_centre}/{cfg.name}",
         )
-        self._services: dict[str, ServiceModel] = {}
-        self._groups: dict[str, dict[str, Group]] = {}
-        for service in document.services:
-            self._add_service(service)
-
-    def _add_service(self, service: ServiceModel) -> None:
-        groups = {}
-        for model in service.groups:
-            spec = GroupSpec(
-                name=model.name,
-                service=service.name,
-                database=model.database,
-                instances=tuple(
-                    Instance(
-                        name=item.name,
-                        host=item.host,
-                        port=item.port,
-                        data_centre=item.data_centre,
-                        leaving=item.leaving,
-                    )
-                    for item in model.instances
-                ),
-                connections=connection_share(
-                    accepted=service.connections,
-                    instances=len(model.instances),
-                    proxies=self._cfg.proxies,
-                ),
-            )
-            for item in model.instances:
-                self._admission.configure(
-                    item.name, slots=service.slots, proxies=self._cfg.proxies
-                )
-            groups[model.database] = Group(
-                spec, connector=self._connector, timers=self._timers
-            )
-        self._groups[service.name] = groups
-        for user in service.users:
-            self._services[user.name] = service
+        self._rng = rng
+        self._control: Control | None = None
+        self._registry = ServiceRegistry(
+            connector=self._connector,
+            timers=self._timers,
+            admission=self._admission,
+            proxies=cfg.proxies,
+            start=self._start_group,
+        )
+        self._document = document
 
     def open_session(self, user: str) -> Session:
         """Makes the session of a new caller."""
-        service = self._services[user]
+        service = self._registry.service_of(user)
         return Session(
-            groups=self._groups[service.name],
+            groups=self._registry.groups_of(service.name),
             reader=self._reader,
             writer=self._writer,
             signer=self._signer,
@@ -144,26 +117,42 @@
             loop.add_signal_handler(number, stop.set)
         listener = self._make_listener()
         admin = await self._start_admin(listener)
-        for group in self._all_groups():
-            self._watch(group)
-            self._writer.start_pruning(group)
+        self._control = self._make_control()
+        await self._registry.apply(self._document, 0)
         measuring = asyncio.create_task(
-            measure_gaps(self._all_groups(), timers=self._timers, metrics=self._metrics)
+            measure_gaps(
+                self._registry.all_groups, timers=self._timers, metrics=self._metrics
+            )
         )
-        await listener.start(host=self._cfg.host, port=self._cfg.port)
-        self._ready = True
-        log.info("listening", host=self._cfg.host, port=self._cfg.port)
-        await stop.wait()
-        cut = await self._stop(listener)
+        async with AsyncExitStack() as stack:
+            if self._control is not None:
+                await stack.enter_async_context(self._control)
+            await listener.start(host=self._cfg.host, port=self._cfg.port)
+            self._ready = True
+            log.info("listening", host=self._cfg.host, port=self._cfg.port)
+            await stop.wait()
+            cut = await self._stop(listener)
         measuring.cancel()
-        for group in self._all_groups():
-            group.close()
+        self._registry.close()
         self._admission.close()
         if admin is not None:
             await admin.close()
         log.info("stopped", cut=cut)
         return EXIT_FAILED if cut else EXIT_OK
 
+    def _make_control(self) -> Control | None:
+        cfg = self._cfg
+        if cfg.fleet is None or cfg.platform is None:
+            return None
+        return Control(
+            cfg,
+            fleet=cfg.fleet,
+            platform=cfg.platform,
+            timers=self._timers,
+            rng=self._rng,
+            apply=self._registry.apply,
+        )
+
     async def _stop(self, listener: Listener) -> int:
         times = self._cfg.stop
         self._ready = False
@@ -171,22 +160,19 @@
         await self._timers.sleep(times.unready_ms / MS_PER_S)
         await listener.close()
         log.info("draining", connected=listener.connected)
-        deadlines = [service.deadline_ms for service in self._services.values()]
+        if self._control is not None:
+            await self._control.leave()
         return await listener.drain(
             transactions_s=times.transactions_ms / MS_PER_S,
-            statements_s=(max(deadlines, default=0) + times.linger_ms) / MS_PER_S
+            statements_s=self._registry.longest_deadline_s()
+            + times.linger_ms / MS_PER_S
             + ANSWER_GRACE_S,
         )
 
     def _make_listener(self) -> Listener:
-        hashes = {
-            user.name: user.password_hash
-            for service in self._services.values()
-            for user in service.users
-        }
         return Listener(
             open_session=self.open_session,
-            password_hashes=hashes,
+            password_hashes=self._registry.password_hashes,
             timers=self._timers,
             metrics=self._metrics,
             limits=limits_of(self._cfg.callers, self._cfg.stop),
@@ -214,16 +200,30 @@
             version=__version__,
             ready=self._ready,
             callers=listener.connected,
-            groups=[group_status(group) for group in self._all_groups()],
+            groups=[group_status(group) for group in self._registry.all_groups()],
+            configuration=self._registry.version,
         )
 
-    def _all_groups(self) -> list[Group]:
-        return [g for groups in self._groups.values() for g in groups.values()]
+    def _start_group(self, group: Group) -> None:
+        control = self._control
+        promoter = Promoter(
+            group,
+            proxy=self._cfg.name,
+            timers=self._timers,
+            rng=self._rng,
+            directory=None if control is None else control.directory,
+        )
+        start_watcher(
+            group,
+            promoter=promoter,
+            timers=self._timers,
+            rng=self._rng,
+            rank=functools.partial(self._rank, group.spec.name),
+        )
+        self._writer.start_pruning(group)
 
-    def _watch(self, group: Group) -> None:
-        rng = random.SystemRandom()
-        promoter = Promoter(group, proxy=self._cfg.name, timers=self._timers, rng=rng)
-        rank = functools.partial(
-            proposer_rank, group.spec.name, self._cfg.name, proxies=self._cfg.proxies
+    def _rank(self, group: str) -> int:
+        peers = [] if self._control is None else self._control.proxy_names()
+        return proposer_rank(
+            group, self._cfg.name, peers=peers, proxies=self._cfg.proxies
         )
-        start_watcher(group, promoter=promoter, timers=self._timers, rng=rng, rank=rank)
--- /dev/null
+++ b/src/heatherpier/_registry.py
@@ -0,0 +1,170 @@
+"""The services and groups in force, and how a new document replaces them."""
+
+import asyncio
+from collections.abc import Callable
+
+from heatherpier.groups import Group, GroupSpec, connection_share
+from heatherpier.limits import Admission
+from heatherpier.settings import Document, GroupModel, ServiceModel
+from heatherpier.telemetry import get_logger
+from heatherpier.timers import Timers
+from heatherpier.upstreams import Connector, Instance
+
+log = get_logger("proxy")
+MS_PER_S = 1000
+# Time beyond the longest deadline until a replaced group's tasks end.
+RETIRE_GRACE_S = 5.0
+
+
+class ServiceRegistry:
+    """Keeps one `Group` for each database group of the document in force.
+
+    Args:
+        connector: Opens connections to instances.
+        timers: Timer service.
+        admission: Gets the bounds of each instance.
+        proxies: Count of proxies that share the connections of an instance.
+        start: Starts the background work of a new group.
+    """
+
+    def __init__(
+        self,
+        *,
+        connector: Connector,
+        timers: Timers,
+        admission: Admission,
+        proxies: int,
+        start: Callable[[Group], None],
+    ) -> None:
+        self.password_hashes: dict[str, str] = {}
+        self.version = 0
+        self._connector = connector
+        self._timers = timers
+        self._admission = admission
+        self._proxies = proxies
+        self._start = start
+        self._services: dict[str, ServiceModel] = {}
+        self._by_user: dict[str, ServiceModel] = {}
+        # Sessions hold these mappings, so they are changed in place.
+        self._groups: dict[str, dict[str, Group]] = {}
+        self._retiring: set[asyncio.Task[None]] = set()
+
+    def service_of(self, user: str) -> ServiceModel:
+        """Returns the service that ``user`` calls."""
+        return self._by_user[user]
+
+    def groups_of(self, service: str) -> dict[str, Group]:
+        """Returns the groups of a service by database, kept up to date."""
+        return self._groups.setdefault(service, {})
+
+    def all_groups(self) -> list[Group]:
+        """Returns all groups in force."""
+        return [g for groups in self._groups.values() for g in groups.values()]
+
+    def longest_deadline_s(self) -> float:
+        """Returns the longest time in seconds that a statement may take."""
+        deadlines = [service.deadline_ms for service in self._services.values()]
+        return max(deadlines, default=0) / MS_PER_S
+
+    async def apply(self, document: Document, version: int) -> None:
+        """Puts a validated document in force, wholly.
+
+        A group whose description is unchanged goes on undisturbed. What runs on
+        a replaced or removed group is finished there.
+
+        Args:
+            document: The document.
+            version: Its version.
+        """
+        grace_s = self.longest_deadline_s() + RETIRE_GRACE_S
+        wanted = {service.name: service for service in document.services}
+        for name in self._groups.keys() - wanted.keys():
+            self._replace_groups(name, {}, grace_s=grace_s)
+        for service in document.services:
+            specs = {
+                model.database: self._spec(service, model) for model in service.groups
+            }
+            self._replace_groups(service.name, specs, grace_s=grace_s)
+            self._configure_limits(service)
+        self._services = wanted
+        self._replace_users(document)
+        self.version = version
+
+    def _replace_groups(
+        self, service: str, specs: dict[str, GroupSpec], *, grace_s: float
+    ) -> None:
+        groups = self.groups_of(service)
+        for database, group in list(groups.items()):
+            if specs.get(database) != group.spec:
+                del groups[database]
+                self._retire(group, grace_s=grace_s)
+        for database, spec in specs.items():
+            if database not in groups:
+                group = Group(spec, connector=self._connector, timers=self._timers)
+                groups[database] = group
+                self._start(group)
+
+    def _configure_limits(self, service: ServiceModel) -> None:
+        for model in service.groups:
+            for item in model.instances:
+                self._admission.configure(
+                    item.name, slots=service.slots, proxies=self._proxies
+                )
+
+    def _replace_users(self, document: Document) -> None:
+        self._by_user = {
+            user.name: service
+            for service in document.services
+            for user in service.users
+        }
+        self.password_hashes.clear()
+        self.password_hashes.update(
+            {
+                user.name: user.password_hash
+                for service in document.services
+                for user in service.users
+            }
+        )
+
+    def _spec(self, service: ServiceModel, model: GroupModel) -> GroupSpec:
+        return GroupSpec(
+            name=model.name,
+            service=service.name,
+            database=model.database,
+            instances=tuple(
+                Instance(
+                    name=item.name,
+                    host=item.host,
+                    port=item.port,
+                    data_centre=item.data_centre,
+                    leaving=item.leaving,
+                )
+                for item in model.instances
+            ),
+            connections=connection_share(
+                accepted=service.connections,
+                instances=len(model.instances),
+                proxies=self._proxies,
+            ),
+        )
+
+    def _retire(self, group: Group, *, grace_s: float) -> None:
+        log.info("group replaced", group=group.spec.name, grace_s=grace_s)
+        for pool in group.pools.values():
+            pool.close()
+        task = asyncio.create_task(self._close_later(group, grace_s))
+        self._retiring.add(task)
+        task.add_done_callback(self._retiring.discard)
+
+    async def _close_later(self, group: Group, grace_s: float) -> None:
+        try:
+            await self._timers.sleep(grace_s)
+        finally:
+            group.close()
+
+    def close(self) -> None:
+        """Closes all groups, the replaced ones included."""
+        for task in self._retiring:
+            task.cancel()
+        for group in self.all_groups():
+            group.close()
--- a/src/heatherpier/_status.py
+++ b/src/heatherpier/_status.py
@@ -56,6 +56,7 @@
         ready: Whether the balancer should send new callers.
         callers: Count of connected callers.
         groups: The groups that it serves.
+        configuration: Version of the configuration in force, or 0 for the file.
     """
 
     proxy: str
@@ -64,6 +65,7 @@
     ready: bool
     callers: int
     groups: list[GroupSummary]
+    configuration: int = 0
 
 
 def group_status(group: Group) -> GroupSummary:
--- a/src/heatherpier/fleet/_membership.py
+++ b/src/heatherpier/fleet/_membership.py
@@ -1,6 +1,7 @@
 """Which proxies are alive, by random probes and spread updates."""
 
 import asyncio
+import heapq
 import math
 import random
 from collections.abc import Callable, Iterable
@@ -23,7 +24,8 @@
 SUSPECT_S = 3.0
 FORGET_S = 600.0
 DELEGATES = 2
-FULL_SYNC_S = 60.0
+# Updates spread within this time; views that differ for longer are exchanged whole.
+DISAGREEMENT_S = 15.0
 UPDATES_PER_MESSAGE = 8
 # Each update is sent this many times the logarithm of the fleet's size.
 RETRANSMIT_FACTOR = 3
@@ -44,11 +46,13 @@
     Attributes:
         updates: What the sender has learnt lately.
         version: Configuration version in force at the sender.
+        digest: Digest of the live members that the sender knows.
         full: Whether the answer must list all members.
     """
 
     updates: tuple[PeerRecord, ...]
     version: int
+    digest: int = 0
     full: bool = False
 
 
@@ -58,10 +62,12 @@
     Attributes:
         updates: What the answering member has learnt lately.
         version: Configuration version in force there.
+        digest: Digest of the live members known there.
     """
 
     updates: tuple[PeerRecord, ...]
     version: int
+    digest: int = 0
 
 
 class PingRequest(Message, frozen=True, tag="ping_request"):
@@ -141,10 +147,15 @@
         self._version = version
         self._on_version = on_version
         self._members: dict[str, Member] = {}
+        # Live members by data centre, and those not known to be well, so that
+        # the work of a period does not grow with the fleet.
+        self._alive: dict[str, dict[str, Peer]] = {}
+        self._doubtful: set[str] = set()
         self._pending: dict[str, int] = {}
         self._queue: list[str] = []
-        # When all members were last exchanged with each other data centre.
-        self._synced_at: dict[str, float] = {}
+        self._digest = 0
+        # Since when the view of each other data centre differs from the own.
+        self._differs_since: dict[str, float] = {}
         self._set(me, incarnation=incarnation, state=State.ALIVE)
         network.handle(Ping, self._on_ping)
         network.handle(PingRequest, self._on_ping_request)
@@ -166,18 +177,20 @@
         Args:
             data_centre: Only members there, or None for all.
         """
-        return [
-            member.peer
-            for member in self._members.values()
-            if member.state <= State.SUSPECT
-            and data_centre in (None, member.peer.data_centre)
-        ]
+        if data_centre is not None:
+            return list(self._alive.get(data_centre, {}).values())
+        return [peer for place in self._alive.values() for peer in place.values()]
+
+    @property
+    def unspread(self) -> int:
+        """Count of updates that are still being sent on."""
+        return len(self._pending)
 
     def is_delegate(self) -> bool:
         """Tells whether this proxy speaks for its data centre."""
-        near = [peer.name for peer in self.alive(data_centre=self.me.data_centre)]
-        ranked = sorted(near, key=lambda name: xxhash.xxh64_intdigest(name.encode()))
-        return self.me.name in ranked[:DELEGATES]
+        near = self._alive.get(self.me.data_centre, {})
+        first = heapq.nsmallest(DELEGATES, near, key=_delegate_rank)
+        return self.me.name in first
 
     # Life
 
@@ -186,8 +199,8 @@
         for seed in seeds:
             if seed.name == self.me.name:
                 continue
-            self._learn(_seed_record(seed))
-            await self._ping(seed, full=True)
+            self._learn(_seed_record(seed), spread=False)
+            await self._ping(seed, full=True, spread=False)
 
     async def run(self) -> None:
         """Probes for as long as the task runs."""
@@ -230,18 +243,22 @@
         self._rng.shuffle(self._queue)
         return near[self._queue.pop()] if self._queue else None
 
-    async def _ping(self, peer: Peer, *, full: bool = False) -> bool:
+    async def _ping(
+        self, peer: Peer, *, full: bool = False, spread: bool = True
+    ) -> bool:
         updates = self._take_updates()
         member = self._members.get(peer.name)
         if member is not None and member.state is State.SUSPECT:
             # A suspect must hear of the suspicion to refute it.
             updates = (*updates, member.record())
-        ping = Ping(updates=updates, version=self._version(), full=full)
+        ping = Ping(
+            updates=updates, version=self._version(), digest=self._digest, full=full
+        )
         try:
             answer = await self._network.request(peer, ping, timeout_s=PROBE_TIMEOUT_S)
         except PeerUnreachableError:
             return False
-        self._take_in(peer, answer)
+        self._take_in(peer, answer, spread=spread)
         return True
 
     async def _ping_indirectly(self, peer: Peer) -> bool:
@@ -262,21 +279,25 @@
         return any(isinstance(answer, Pong) for answer in answers)
 
     async def _exchange_with_other_data_centre(self) -> None:
-        far = [
-            peer for peer in self._others() if peer.data_centre != self.me.data_centre
-        ]
-        places = sorted({peer.data_centre for peer in far})
+        places = sorted(
+            place
+            for place, peers in self._alive.items()
+            if peers and place != self.me.data_centre
+        )
         if not places:
             return
         place = self._rng.choice(places)
-        peer = self._rng.choice([p for p in far if p.data_centre == place])
-        due = self._synced_at.get(place, -FULL_SYNC_S) + FULL_SYNC_S
-        full = self._timers.now() >= due
-        if not await self._ping(peer, full=full):
-            # What was missed during a cut is fetched in one exchange.
-            self._synced_at.pop(place, None)
-        elif full:
-            self._synced_at[place] = self._timers.now()
+        peer = self._rng.choice(list(self._alive[place].values()))
+        since = self._differs_since.get(place)
+        full = since is not None and self._timers.now() - since >= DISAGREEMENT_S
+        if await self._ping(peer, full=full) and full:
+            self._differs_since.pop(place, None)
+
+    def _compare(self, place: str, digest: int) -> None:
+        if digest == self._digest:
+            self._differs_since.pop(place, None)
+        else:
+            self._differs_since.setdefault(place, self._timers.now())
 
     async def _on_ping(self, sender: str, ping: Ping) -> Message:
         self._absorb(ping.updates)
@@ -285,28 +306,32 @@
             self._on_version(known.peer, ping.version)
         if ping.full:
             records = tuple(member.record() for member in self._members.values())
-            return Pong(updates=records, version=self._version())
-        return Pong(updates=self._take_updates(), version=self._version())
+            return self._pong(records)
+        return self._pong(self._take_updates())
+
+    def _pong(self, updates: tuple[PeerRecord, ...]) -> Pong:
+        return Pong(updates=updates, version=self._version(), digest=self._digest)
 
     async def _on_ping_request(self, sender: str, req: PingRequest) -> Message | None:
         target = self._members.get(req.target)
         if target is None or not await self._ping(target.peer):
             return None
-        return Pong(updates=(), version=self._version())
+        return self._pong(())
 
-    def _take_in(self, peer: Peer, answer: Message) -> None:
+    def _take_in(self, peer: Peer, answer: Message, *, spread: bool) -> None:
         match answer:
-            case Pong(updates=updates, version=version):
-                self._absorb(updates)
+            case Pong(updates=updates, version=version, digest=digest):
+                self._absorb(updates, spread=spread)
+                self._compare(peer.data_centre, digest)
                 self._on_version(peer, version)
 
     # Updates
 
-    def _absorb(self, updates: Iterable[PeerRecord]) -> None:
+    def _absorb(self, updates: Iterable[PeerRecord], *, spread: bool = True) -> None:
         for update in updates:
-            self._learn(update)
+            self._learn(update, spread=spread)
 
-    def _learn(self, update: PeerRecord) -> None:
+    def _learn(self, update: PeerRecord, *, spread: bool) -> None:
         if update.name == self.me.name:
             self._refute(update)
             return
@@ -323,7 +348,12 @@
             port=update.port,
             data_centre=update.data_centre,
         )
-        self._set(peer, incarnation=update.incarnation, state=State(update.state))
+        self._set(
+            peer,
+            incarnation=update.incarnation,
+            state=State(update.state),
+            spread=spread,
+        )
 
     def _refute(self, update: PeerRecord) -> None:
         own = self._members[self.me.name]
@@ -333,17 +363,38 @@
             return
         self._set(self.me, incarnation=update.incarnation + 1, state=State.ALIVE)
 
-    def _set(self, peer: Peer, *, incarnation: int, state: State) -> None:
-        self._members[peer.name] = Member(
+    def _set(
+        self, peer: Peer, *, incarnation: int, state: State, spread: bool = True
+    ) -> None:
+        known = self._members.get(peer.name)
+        if known is not None:
+            self._digest ^= _fingerprint(known)
+        member = Member(
             peer=peer,
             incarnation=incarnation,
             state=state,
             changed_at=self._timers.now(),
         )
+        self._members[peer.name] = member
+        self._digest ^= _fingerprint(member)
+        self._index(peer, state=state)
+        # A member that joins learns what all others know already.
+        if not spread:
+            return
         self._pending[peer.name] = RETRANSMIT_FACTOR * math.ceil(
             math.log2(len(self._members) + 1)
         )
 
+    def _index(self, peer: Peer, *, state: State) -> None:
+        for place in self._alive.values():
+            place.pop(peer.name, None)
+        if state <= State.SUSPECT:
+            self._alive.setdefault(peer.data_centre, {})[peer.name] = peer
+        if state is State.ALIVE:
+            self._doubtful.discard(peer.name)
+        else:
+            self._doubtful.add(peer.name)
+
     def _take_updates(self) -> tuple[PeerRecord, ...]:
         chosen = sorted(self._pending, key=self._pending.__getitem__, reverse=True)
         chosen = chosen[:UPDATES_PER_MESSAGE]
@@ -355,7 +406,8 @@
 
     def _expire(self) -> None:
         now = self._timers.now()
-        for name, member in list(self._members.items()):
+        for name in list(self._doubtful):
+            member = self._members[name]
             age_s = now - member.changed_at
             near = member.peer.data_centre == self.me.data_centre
             if member.state is State.SUSPECT and near and age_s >= SUSPECT_S:
@@ -363,6 +415,7 @@
                 self._set(member.peer, incarnation=member.incarnation, state=State.DEAD)
             if member.state >= State.DEAD and age_s >= FORGET_S:
                 del self._members[name]
+                self._doubtful.discard(name)
                 self._pending.pop(name, None)
 
     def _others(self, *, data_centre: str | None = None) -> list[Peer]:
@@ -373,6 +426,17 @@
         ]
 
 
+def _fingerprint(member: Member) -> int:
+    if member.state >= State.DEAD:
+        # The dead are forgotten at different times in different places.
+        return 0
+    return xxhash.xxh64_intdigest(f"{member.peer.name} {member.incarnation}".encode())
+
+
+def _delegate_rank(name: str) -> int:
+    return xxhash.xxh64_intdigest(name.encode())
+
+
 def _seed_record(seed: Peer) -> PeerRecord:
     # Incarnation 0 is below any that a live member gives itself.
     return PeerRecord(
--- a/src/heatherpier/settings/__init__.py
+++ b/src/heatherpier/settings/__init__.py
@@ -9,6 +9,7 @@
     UserModel,
 )
 from heatherpier.settings._errors import InvalidSettingsError
+from heatherpier.settings._fleet import FleetModel, PeerModel, PlatformModel
 from heatherpier.settings._load import load_document, load_model, load_settings
 from heatherpier.settings._process import (
     AdminModel,
@@ -23,9 +24,12 @@
     "AdminModel",
     "CallersModel",
     "Document",
+    "FleetModel",
     "GroupModel",
     "InstanceModel",
     "InvalidSettingsError",
+    "PeerModel",
+    "PlatformModel",
     "ProxySettings",
     "ServiceModel",
     "StopModel",
--- a/src/heatherpier/settings/_process.py
+++ b/src/heatherpier/settings/_process.py
@@ -5,6 +5,7 @@
 from pydantic import Field, SecretStr, model_validator
 
 from heatherpier.settings._base import IpAddress, Name, Port, StrictModel
+from heatherpier.settings._fleet import FleetModel, PlatformModel
 
 
 class CallersModel(StrictModel):
@@ -85,6 +86,8 @@
         callers: Limits of the listener.
         stop: Times of a planned stop.
         admin: HTTP endpoint for readiness, metrics and status, or None.
+        fleet: How to talk to peers, or None for a proxy that stands alone.
+        platform: Where the platform's services are; needed by ``fleet``.
     """
 
     name: Name
@@ -105,3 +108,11 @@
     callers: CallersModel = CallersModel()
     stop: StopModel = StopModel()
     admin: AdminModel | None = None
+    fleet: FleetModel | None = None
+    platform: PlatformModel | None = None
+
+    @model_validator(mode="after")
+    def _fleet_has_a_platform(self) -> Self:
+        if (self.fleet is None) != (self.platform is None):
+            raise ValueError("fleet and platform must be set together")
+        return self
