Submit documents by the command line, shown on real processes

Cause: configuration reached a proxy only by a file at its start. Change: heatherpier submit; a stand-in platform process; status tells the version in force; the test submits to three proxies and races a second one. After: in force on all three, and the loser gets the conflict.

--- a/src/heatherpier/_cli.py
+++ b/src/heatherpier/_cli.py
@@ -5,6 +5,9 @@
   heatherpier check DOCUMENT
   heatherpier schema (settings | document)
   heatherpier status --admin=ADDRESS
+  heatherpier submit DOCUMENT --settings=FILE --author=NAME --submission=ID
+                     [--base=VERSION]
+  heatherpier bench platform --settings=FILE
   heatherpier bench instance --settings=FILE
   heatherpier bench demo [--deployment=NAME] [--proxies=N] [--seed=N]
   heatherpier bench writes
@@ -21,6 +24,9 @@
 
 Options:
   --settings=FILE    JSON file with the settings of the process.
+  --author=NAME      Who submits the document.
+  --submission=ID    Id of your choice; submitting again with it is idempotent.
+  --base=VERSION     Version that was edited; the one in force if not given.
   --admin=ADDRESS    Admin endpoint of a proxy, as IP:port.
   --deployment=NAME  sen-vang or lantern-ledger [default: sen-vang].
   --proxies=N        Count of proxies [default: 4].
@@ -36,6 +42,7 @@
   heatherpier proxy --settings=examples/proxy.json
   heatherpier schema document > document.schema.json
   heatherpier status --admin=10.1.0.11:8306
+  heatherpier submit document.json --settings=proxy.json --author=mai --submission=42
   heatherpier bench demo --deployment=lantern-ledger --proxies=12 --seed=7
   heatherpier bench faults --seeds=200
   heatherpier bench faults --seed=17
@@ -58,6 +65,11 @@
 from heatherpier import __version__
 from heatherpier._proxy import Proxy
 from heatherpier._status_command import StatusError, fetch_status_lines
+from heatherpier._submit_command import (
+    SubmitArguments,
+    SubmitError,
+    submit_document,
+)
 from heatherpier.settings import (
     InvalidSettingsError,
     load_document,
@@ -83,7 +95,7 @@
     except InvalidSettingsError as exc:
         print(f"heatherpier: {exc}", file=sys.stderr)
         code = EXIT_INVALID
-    except (StatusError, OSError) as exc:
+    except (StatusError, SubmitError, OSError) as exc:
         print(f"heatherpier: {exc}", file=sys.stderr)
         code = EXIT_FAILED
     sys.exit(code)
@@ -103,6 +115,8 @@
     if args["status"]:
         print("\n".join(asyncio.run(fetch_status_lines(args["--admin"]))))
         return EXIT_OK
+    if args["submit"]:
+        return _run_submit(args)
     if args["bench"]:
         # A proxy does without the memory and start time of the stand-ins.
         from heatherpier.bench import run_bench
@@ -111,6 +125,22 @@
     return _run_proxy(Path(args["--settings"]))
 
 
+def _run_submit(args: dict[str, str]) -> int:
+    cfg = load_settings(Path(args["--settings"]), environment=os.environ)
+    base = args["--base"]
+    if base is not None and not base.isdecimal():
+        raise InvalidSettingsError("--base", [f"expected a version, got {base!r}"])
+    arguments = SubmitArguments(
+        document=load_document(Path(args["DOCUMENT"])),
+        author=args["--author"],
+        submission=args["--submission"],
+        base_version=None if base is None else int(base),
+    )
+    head = asyncio.run(submit_document(cfg, arguments))
+    print(f"accepted: version {head.version}")
+    return EXIT_OK
+
+
 def _run_proxy(path: Path) -> int:
     cfg = load_settings(path, environment=os.environ)
     document = load_document(Path(cfg.document))
--- a/src/heatherpier/_status_command.py
+++ b/src/heatherpier/_status_command.py
@@ -42,7 +42,7 @@
     ready = "ready" if status.ready else "not ready"
     lines = [
         f"{status.proxy} in {status.data_centre}, version {status.version}, {ready}, "
-        f"{status.callers} callers"
+        f"{status.callers} callers, configuration {status.configuration}"
     ]
     for group in status.groups:
         lines += _group_lines(group)
--- /dev/null
+++ b/src/heatherpier/_submit_command.py
@@ -0,0 +1,69 @@
+"""The ``submit`` sub-command: gets a document accepted for the whole fleet."""
+
+from dataclasses import dataclass
+
+from heatherpier._control import platform_address
+from heatherpier.configuration import (
+    ConfigurationError,
+    Head,
+    Publisher,
+    Submission,
+)
+from heatherpier.platform import AwsPlatform, PlatformError
+from heatherpier.settings import Document, InvalidSettingsError, ProxySettings
+from heatherpier.timers import LoopTimers
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SubmitArguments:
+    """What the operator gives on the command line.
+
+    Attributes:
+        document: The validated document.
+        author: Who submits it.
+        submission: Id that makes submitting again idempotent.
+        base_version: Version that was edited, or None for the one in force.
+    """
+
+    document: Document
+    author: str
+    submission: str
+    base_version: int | None
+
+
+class SubmitError(Exception):
+    """The document was not accepted, or that is unknown."""
+
+
+async def submit_document(cfg: ProxySettings, arguments: SubmitArguments) -> Head:
+    """Returns the accepted head.
+
+    Args:
+        cfg: Settings that name the platform.
+        arguments: What to submit.
+
+    Raises:
+        InvalidSettingsError: The settings name no platform.
+        SubmitError: The document was not accepted, or that is unknown.
+    """
+    if cfg.platform is None:
+        raise InvalidSettingsError(
+            "settings", ["platform: expected an object, got none"]
+        )
+    async with AwsPlatform(platform_address(cfg.platform)) as platform:
+        publisher = Publisher(tables=platform, objects=platform, timers=LoopTimers())
+        try:
+            base = arguments.base_version
+            if base is None:
+                head = await publisher.fetch_head()
+                base = 0 if head is None else head.version
+            return await publisher.submit(
+                Submission(
+                    document=arguments.document,
+                    author=arguments.author,
+                    submission=arguments.submission,
+                    base_version=base,
+                )
+            )
+        except (ConfigurationError, PlatformError) as exc:
+            raise SubmitError(str(exc)) from exc
--- a/src/heatherpier/bench/_commands.py
+++ b/src/heatherpier/bench/_commands.py
@@ -15,6 +15,7 @@
 from heatherpier.bench._instance_server import run_instance
 from heatherpier.bench._load_run import run_load
 from heatherpier.bench._overload import run_overload
+from heatherpier.bench._platform_server import run_platform
 from heatherpier.bench._read_share import READ_MIXES, run_reads
 from heatherpier.bench._scale import run_scale
 from heatherpier.bench._write_cost import print_write_costs
@@ -31,6 +32,9 @@
     Raises:
         InvalidSettingsError: An argument is wrong.
     """
+    if args["platform"]:
+        asyncio.run(run_platform(Path(args["--settings"])))
+        return EXIT_OK
     if args["instance"]:
         asyncio.run(run_instance(Path(args["--settings"])))
         return EXIT_OK
--- a/src/heatherpier/bench/_fleet.py
+++ b/src/heatherpier/bench/_fleet.py
@@ -6,6 +6,8 @@
 from pathlib import Path
 from typing import Any
 
+import zmq
+
 from heatherpier.bench._deployment import (
     DEMO_PASSWORD,
     DEMO_TOKEN_KEY,
@@ -27,6 +29,7 @@
         instances: Names of instance processes by group.
         addresses: Addresses of the instances by group.
         proxies: The proxies.
+        joins: Settings that join each proxy to the fleet; empty without platform.
     """
 
     deployment: Deployment
@@ -34,6 +37,7 @@
     instances: dict[str, list[Process]] = field(default_factory=dict)
     addresses: dict[str, list[Instance]] = field(default_factory=dict)
     proxies: list[Process] = field(default_factory=list)
+    joins: list[dict[str, Any]] = field(default_factory=list)
 
 
 async def start_fleet(
@@ -42,6 +46,7 @@
     processes: Processes,
     directory: Path,
     proxies: int,
+    with_platform: bool = False,
 ) -> Fleet:
     """Starts all instances and proxies and returns them listening.
 
@@ -50,6 +55,7 @@
         processes: Where started processes are kept.
         directory: Where the document is written.
         proxies: Count of proxies, spread over the data centres.
+        with_platform: Whether to start the platform and join the proxies.
     """
     fleet = Fleet(deployment=deployment, processes=processes)
     groups = []
@@ -70,6 +76,8 @@
     document = directory / "document.json"
     document.write_text(json.dumps(_document(deployment, groups)), encoding="utf-8")
     load_document(document)
+    if with_platform:
+        fleet.joins = await _start_platform(fleet, count=proxies)
     fleet.proxies = await asyncio.gather(
         *(
             _start_proxy(fleet, number, port, document=document, count=proxies)
@@ -79,6 +87,49 @@
     return fleet
 
 
+async def _start_platform(fleet: Fleet, *, count: int) -> list[dict[str, Any]]:
+    """Starts the platform and returns what each proxy needs to join."""
+    platform, *ports = free_ports(1 + 2 * count)
+    await fleet.processes.start(
+        "platform",
+        command=["bench", "platform"],
+        settings={"port": platform},
+        port=platform,
+    )
+    public, secret = zmq.curve_keypair()
+    url = f"http://127.0.0.1:{platform}"
+    places = fleet.deployment.data_centres
+    seeds = [
+        {
+            "name": f"proxy-{number + 1}",
+            "host": "127.0.0.1",
+            "port": ports[number],
+            "data_centre": places[number % len(places)],
+        }
+        for number in range(count)
+    ]
+    return [
+        {
+            "fleet": {
+                "port": ports[number],
+                "public_key": public.decode(),
+                "secret_key": secret.decode(),
+                "seeds": seeds,
+            },
+            "platform": {
+                "table_url": url,
+                "object_url": url,
+                "table": "heatherpier",
+                "bucket": "heatherpier",
+                "access_key": "demo",
+                "secret_key": "demo",
+            },
+            "admin": {"port": ports[count + number]},
+        }
+        for number in range(count)
+    ]
+
+
 async def _start_instance(
     fleet: Fleet, models: list[dict[str, Any]], place: int
 ) -> Process:
@@ -117,6 +168,7 @@
             "proxies": count,
             "token_keys": [DEMO_TOKEN_KEY],
             "document": str(document),
+            **(fleet.joins[number] if fleet.joins else {}),
         },
         port=port,
     )
--- /dev/null
+++ b/src/heatherpier/bench/tests/test_configuration_in_force.py
@@ -0,0 +1,99 @@
+"""A document submitted to the platform comes in force on real proxies."""
+
+import asyncio
+import dataclasses
+import json
+import subprocess
+import sys
+
+import pymysql
+import pytest
+
+from heatherpier.bench._deployment import DEMO_PASSWORD, SEN_VANG
+from heatherpier.bench._fleet import start_fleet
+from heatherpier.bench._processes import Processes
+
+ONE_GROUP = dataclasses.replace(SEN_VANG, groups=1, lag_ms=5)
+PROXIES = 3
+POLL_S = 0.1
+POLLS = 300
+
+
+@pytest.fixture(scope="module")
+def event_loop_policy():
+    return asyncio.DefaultEventLoopPolicy()
+
+
+@pytest.fixture
+async def fleet(tmp_path):
+    async with Processes(tmp_path) as processes:
+        yield await start_fleet(
+            ONE_GROUP,
+            processes=processes,
+            directory=tmp_path,
+            proxies=PROXIES,
+            with_platform=True,
+        )
+
+
+def run_command(*args):
+    return subprocess.run(
+        [sys.executable, "-m", "heatherpier", *args],
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+
+
+def submit(tmp_path, name, *, submission, base):
+    return run_command(
+        "submit",
+        str(tmp_path / name),
+        f"--settings={tmp_path / 'proxy-1.json'}",
+        "--author=mai",
+        f"--submission={submission}",
+        f"--base={base}",
+    )
+
+
+def write_document(tmp_path, *, user):
+    document = json.loads((tmp_path / "document.json").read_text())
+    document["services"][0]["users"][0]["name"] = user
+    (tmp_path / "changed.json").write_text(json.dumps(document))
+
+
+async def wait_for_version(fleet, version):
+    for join in fleet.joins:
+        admin = f"127.0.0.1:{join['admin']['port']}"
+        for _ in range(POLLS):
+            status = await asyncio.to_thread(run_command, "status", f"--admin={admin}")
+            if f"configuration {version}" in status.stdout:
+                break
+            await asyncio.sleep(POLL_S)
+        else:
+            raise AssertionError(status.stdout + status.stderr)
+
+
+def call(proxy, *, user):
+    conn = pymysql.connect(
+        host="127.0.0.1",
+        port=proxy.port,
+        user=user,
+        password=DEMO_PASSWORD,
+        database=ONE_GROUP.database(ONE_GROUP.group_names()[0]),
+        autocommit=True,
+    )
+    with conn, conn.cursor() as cursor:
+        cursor.execute("SELECT 1")
+        return cursor.fetchone()
+
+
+async def test_submitted_document_is_in_force_on_every_proxy(fleet, tmp_path):
+    write_document(tmp_path, user="night-desk")
+    accepted = submit(tmp_path, "changed.json", submission="s1", base=0)
+    assert accepted.stdout == "accepted: version 1\n"
+    await wait_for_version(fleet, 1)
+    assert {call(proxy, user="night-desk") for proxy in fleet.proxies} == {(1,)}
+    loser = submit(tmp_path, "document.json", submission="s2", base=0)
+    assert loser.returncode == 1
+    assert "version 1 by 'mai' was accepted first" in loser.stderr
