--- a/src/heatherpier/reads/tests/test_reader.py
+++ b/src/heatherpier/reads/tests/test_reader.py
@@ -197,3 +197,16 @@
             await stack.enter_async_context(place)
         with pytest.raises(OverloadedError):
             await desk.run("BEGIN", deadline_ms="500")
+
+
+async def test_late_answer_reaches_no_other_read(field):
+    desk = await ready(field, place=1)
+    near = field.memory.instances[1]
+    near.faults.slow_ms = 2600
+    await desk.read("SELECT 1", floor=LogPosition(1, 3))
+    near.faults.slow_ms = 0
+    await desk.group.refresh()
+    for number in (2, 3):
+        answer = await desk.read(f"SELECT {number}", floor=LogPosition(1, 3))
+        assert (answer.instance, answer.result.rows) == (near.name, ((number,),))
+        await field.timers.sleep(1.5)
