Let one read go by writes on a primary

Cause: writes that wait for locks hold their places for long, so sessions without a token waited behind them at the same proxy. Change: one read on the primary runs beside any count of writes.

--- a/src/heatherpier/limits/_gate.py
+++ b/src/heatherpier/limits/_gate.py
@@ -136,7 +136,9 @@
             case Use.READ:
                 return room
             case Use.PRIMARY_READ:
-                return room and self._primary_reads < max(int(self._read_share), 1)
+                # Writes that wait for locks hold places for long; one read goes by.
+                places = max(int(self._read_share), 1)
+                return self._primary_reads < (places if room else 1)
             case Use.WRITE:
                 # Reads never keep the last write of a proxy waiting.
                 return room or self._writes == 0
--- a/src/heatherpier/limits/tests/test_admission.py
+++ b/src/heatherpier/limits/tests/test_admission.py
@@ -142,6 +142,16 @@
     await asyncio.gather(*reads)
 
 
+async def test_writes_in_every_slot_do_not_keep_a_primary_read_waiting(load):
+    writes = [
+        load.start("write", use=Use.WRITE, priority=Priority.WRITE) for _ in range(20)
+    ]
+    await asyncio.sleep(0)
+    took_s = await load.statement("read", use=Use.PRIMARY_READ)
+    assert took_s == pytest.approx(WORK_S)
+    await asyncio.gather(*writes)
+
+
 async def test_cancelled_waiters_leave_the_queue(load):
     holders = [load.start("hold") for _ in range(3)]
     await asyncio.sleep(0)
