Fill the primary's read places too in the test of a full group

Cause: one read now goes by writes on a primary, so three writes no longer fill it for reads; the test holds the two read places and a write's instead, and still demands the refusal at once.

--- a/src/heatherpier/reads/tests/test_reader.py
+++ b/src/heatherpier/reads/tests/test_reader.py
@@ -172,13 +172,15 @@
 
 async def test_read_on_a_full_group_is_refused_at_once(field):
     desk = await ready(field)
+    primary, *replicas = field.memory.instances
+    places = [(replica.name, Use.READ) for replica in replicas for _ in range(3)]
+    places += [(primary.name, Use.PRIMARY_READ)] * 2 + [(primary.name, Use.WRITE)]
     async with contextlib.AsyncExitStack() as stack:
-        for instance in field.memory.instances:
-            for _ in range(3):
-                place = desk.reader._admission.admit(
-                    instance.name, priority=Priority.WRITE, deadline=60
-                )
-                await stack.enter_async_context(place)
+        for name, use in places:
+            place = desk.reader._admission.admit(
+                name, priority=Priority.WRITE, deadline=60, use=use
+            )
+            await stack.enter_async_context(place)
         began = field.timers.now()
         with pytest.raises(OverloadedError) as caught:
             await desk.read(floor=LogPosition(1, 3), within_s=0.01)
