--- a/src/heatherpier/_cli.py
+++ b/src/heatherpier/_cli.py
@@ -18,6 +18,7 @@
                          [--seed=N]
   heatherpier bench faults [--seeds=N] [--seed=N]
   heatherpier bench cost
+  heatherpier bench control [--deployment=NAME] [--proxies=N] [--seconds=N]
   heatherpier bench scale [--nodes=N] [--seed=N]
   heatherpier version
   heatherpier (-h | --help)
--- a/src/heatherpier/bench/_commands.py
+++ b/src/heatherpier/bench/_commands.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 from typing import Any
 
+from heatherpier.bench._control_cost import describe, measure_control
 from heatherpier.bench._demo import run_demo
 from heatherpier.bench._deployment import DEPLOYMENTS, Deployment
 from heatherpier.bench._failover_report import print_failover
@@ -60,11 +61,25 @@
         return _run_load(args)
     if args["faults"]:
         return _run_faults(args)
+    if args["control"]:
+        return _run_control(args)
     if args["scale"]:
         return _run_scale(args)
     return _run_demo(args)
 
 
+def _run_control(args: Mapping[str, Any]) -> int:
+    cost = asyncio.run(
+        measure_control(
+            _deployment(args),
+            proxies=_integer(args, "--proxies", least=1),
+            duration_s=_integer(args, "--seconds", least=1),
+        )
+    )
+    print(json.dumps(describe(cost), indent=1))
+    return EXIT_OK
+
+
 def _run_scale(args: Mapping[str, Any]) -> int:
     nodes = _integer(args, "--nodes", least=2)
     print(json.dumps(run_scale(nodes=nodes, seed=_seed(args)).as_dict(), indent=1))
