Believe a stated age only of an instance that was a replica then too

An isolated primary states an age of 0; demoted between that answer and the read, it was judged as a replica by the age it had stated as a primary. Ruled out: the lag of the stand-ins and the wait for the position. Change: the status before a read of a stated age must be that of a replica in the same term as the status after it. Before: the new test gets an answer.

--- a/src/heatherpier/reads/_attempt.py
+++ b/src/heatherpier/reads/_attempt.py
@@ -216,7 +216,13 @@
         """Proves that what a replica showed stays and was fresh enough."""
         match self.freshness:
             case NotOlder(max_age_ms=max_age_ms):
-                fresh = run.before.age_ms(self._timers.now()) <= max_age_ms
+                # An isolated primary states an age of 0 until it is demoted.
+                followed = (
+                    not run.before.status.leads()
+                    and run.before.status.adopted_term == run.after.adopted_term
+                )
+                age_ms = run.before.age_ms(self._timers.now())
+                fresh = followed and age_ms <= max_age_ms
             case _:
                 fresh = is_fresh(run.after, self.freshness)
         if not fresh:
--- a/src/heatherpier/reads/tests/test_promises.py
+++ b/src/heatherpier/reads/tests/test_promises.py
@@ -218,3 +218,29 @@
     with pytest.raises(FinalError, match="not run"):
         await desk.read()
     assert field.timers.now() - began < 2
+
+
+async def test_age_that_an_isolated_primary_stated_is_not_believed_of_a_replica(
+    field, monkeypatch
+):
+    first, second, third = field.memory.instances
+    for name in (second.name, third.name):
+        field.memory.network.cut(first.name, name)
+    await field.change_primary(1, voters=[1, 2])
+    await field.timers.sleep(8)
+    desk = await ready(field, "proxy-1", place=0)
+    for name in (second.name, third.name):
+        field.memory.network.cut("proxy-1", name)
+    second.commit_alone(WRITE)
+    await field.timers.sleep(3)
+    read = first.engine.read
+
+    def demote_and_read(sql, **options):
+        if sql == READ:
+            first.follow(second.adopted_term, second.name)
+            first.log.append(second.log[len(first.log)])
+        return read(sql, **options)
+
+    monkeypatch.setattr(first.engine, "read", demote_and_read)
+    with pytest.raises(FinalError):
+        await desk.read(READ, max_age_ms=2000, within_s=1.0)
