Let the stop test not depend on the speed of the machine

Cause: on a busy machine a caller got a true refusal (7005, read only) before the stop, and the test took it for the end; it also had 700 ms of wall time to connect after readiness went off. Ruled out: a cut request; none was seen. Change: callers come back after true refusals, the listener stays open for 4 s, and the test waits for readiness to go off. It still demands that every caller ends with the shutdown error 1053, that a late connection is served, and exit code 0.

--- a/src/heatherpier/callers/tests/test_stop.py
+++ b/src/heatherpier/callers/tests/test_stop.py
@@ -16,6 +16,10 @@
 from heatherpier.bench._processes import Processes, free_ports
 
 STOPPING = 1053
+# True answers of a busy machine, after which a caller comes back: not run,
+# overloaded, read only.
+COME_BACK = frozenset({7001, 7003, 7005})
+POLL_S = 0.05
 ONE_GROUP = dataclasses.replace(SEN_VANG, groups=1, lag_ms=5)
 
 
@@ -37,7 +41,7 @@
             "name": "proxy-9",
             "port": port,
             "admin": {"port": admin_port},
-            "stop": {"unready_ms": 700, "linger_ms": 500},
+            "stop": {"unready_ms": 4000, "linger_ms": 500},
         }
         process = await processes.start(
             "proxy-9", command=["proxy"], settings=cfg, port=port
@@ -62,7 +66,7 @@
 
 
 async def send_until_stopped(proxy, number, outcomes):
-    """Writes and reads until the shutdown error; the last outcome is kept."""
+    """Writes and reads until an error that is no reason to come back; it is kept."""
     conn = await asyncmy.connect(**proxy.caller)
     for count in range(10_000):
         sql = f"INSERT INTO jobs VALUES ({number * 10_000 + count}, 'a')"
@@ -72,6 +76,8 @@
                 await cursor.execute("SELECT COUNT(*) FROM jobs")
                 await cursor.fetchall()
         except OperationalError as exc:
+            if exc.args[0] in COME_BACK:
+                continue
             outcomes.append(exc.args[0])
             return
 
@@ -91,8 +97,8 @@
     _, status = await get(f"{proxy.admin}/status")
     assert json.loads(status)["groups"][0]["name"] == ONE_GROUP.group_names()[0]
     proxy.process.send(signal.SIGTERM)
-    await asyncio.sleep(0.3)
-    assert (await get(f"{proxy.admin}/ready"))[0] == 503
+    while (await get(f"{proxy.admin}/ready"))[0] != 503:
+        await asyncio.sleep(POLL_S)
     late = await asyncio.to_thread(pymysql.connect, **proxy.caller)
     await asyncio.gather(*callers)
     assert outcomes == [STOPPING] * len(callers)
