--- a/src/heatherpier/bench/__init__.py
+++ b/src/heatherpier/bench/__init__.py
@@ -14,6 +14,7 @@
 from heatherpier.bench._instance_faults import InstanceFaults
 from heatherpier.bench._instance_server import run_instance, serve_instance
 from heatherpier.bench._memory import MemoryNetwork
+from heatherpier.bench._memory_control import MemoryControl, make_control, make_peers
 from heatherpier.bench._memory_peers import MemoryFleet
 from heatherpier.bench._platform import MemoryPlatform
 from heatherpier.bench._platform_server import run_platform, serve_platform
@@ -26,11 +27,14 @@
     "Loss",
     "LossResult",
     "MemoryDirectory",
+    "MemoryControl",
     "MemoryFleet",
     "MemoryGroup",
     "MemoryNetwork",
     "MemoryPlatform",
     "free_ports",
+    "make_control",
+    "make_peers",
     "run_bench",
     "measure_loss",
     "run_instance",
--- a/src/heatherpier/bench/_scale.py
+++ b/src/heatherpier/bench/_scale.py
@@ -14,6 +14,7 @@
 
 import psutil
 
+from heatherpier.bench._memory_control import make_control, make_peers
 from heatherpier.bench._memory_peers import MemoryFleet
 from heatherpier.bench._platform import MemoryPlatform
 from heatherpier.configuration import MESSAGES as CONFIGURATION_MESSAGES
@@ -25,6 +26,7 @@
 
 DATA_CENTRES = 15
 REGIONS = 6
+PLACES = tuple(f"place-{number}" for number in range(DATA_CENTRES))
 SEEDS = 3
 WARM_UP_S = 20.0
 MEASURED_S = 60.0
@@ -99,7 +101,7 @@
         self._publisher = Publisher(
             tables=self._platform, objects=self._platform, timers=self._timers
         )
-        self._peers = [_make_peer(number) for number in range(nodes)]
+        self._peers = make_peers(nodes, places=PLACES)
         self._members: dict[str, Membership] = {}
         self._followers: dict[str, Follower] = {}
         self._tasks: dict[str, asyncio.Task[None]] = {}
@@ -139,25 +141,14 @@
         )
 
     def _start(self, peer: Peer) -> None:
-        network = self._fleet.network(peer)
-        follower = Follower(
-            tables=self._platform,
-            objects=self._platform,
-            network=network,
-            timers=self._timers,
-            rng=self._rng,
-            apply=_apply,
-        )
-        members = Membership(
+        control = make_control(
             peer,
-            network=network,
-            timers=self._timers,
+            fleet=self._fleet,
+            platform=self._platform,
             rng=self._rng,
-            incarnation=1,
-            version=follower.version,
-            on_version=follower.hear_version,
+            apply=_apply,
         )
-        follower.use_members(members)
+        members, follower = control.members, control.follower
         self._members[peer.name] = members
         self._followers[peer.name] = follower
         self._tasks[peer.name] = asyncio.create_task(self._live(members, follower))
@@ -275,15 +266,6 @@
     return None
 
 
-def _make_peer(number: int) -> Peer:
-    return Peer(
-        name=f"proxy-{number:04d}",
-        host="10.0.0.1",
-        port=1024 + number,
-        data_centre=f"place-{number % DATA_CENTRES}",
-    )
-
-
 def _make_document(version: int) -> Document:
     return Document.model_validate(
         {
--- a/src/heatherpier/configuration/tests/conftest.py
+++ b/src/heatherpier/configuration/tests/conftest.py
@@ -5,9 +5,9 @@
 
 import pytest
 
-from heatherpier.bench import MemoryFleet, MemoryPlatform
-from heatherpier.configuration import MESSAGES, Follower, Publisher, Submission
-from heatherpier.fleet import MEMBERSHIP_MESSAGES, Codec, Membership, Peer
+from heatherpier.bench import MemoryFleet, MemoryPlatform, make_control, make_peers
+from heatherpier.configuration import MESSAGES, Publisher, Submission
+from heatherpier.fleet import MEMBERSHIP_MESSAGES, Codec
 from heatherpier.settings import Document
 
 PLACES = ("north-a", "central-a", "south-a")
@@ -56,15 +56,7 @@
         self.followers = {}
         self.applied = {}
         self.tasks = {}
-        self.peers = [
-            Peer(
-                name=f"proxy-{number}",
-                host="10.0.0.1",
-                port=4000 + number,
-                data_centre=PLACES[number % len(PLACES)],
-            )
-            for number in range(count)
-        ]
+        self.peers = make_peers(count, places=PLACES)
 
     def start(self, peer):
         self.applied[peer.name] = []
@@ -72,25 +64,14 @@
         async def apply(document, version):
             self.applied[peer.name].append(version)
 
-        network = self.fleet.network(peer)
-        follower = Follower(
-            tables=self.platform,
-            objects=self.platform,
-            network=network,
-            timers=self.timers,
-            rng=self.rng,
-            apply=apply,
-        )
-        members = Membership(
+        control = make_control(
             peer,
-            network=network,
-            timers=self.timers,
+            fleet=self.fleet,
+            platform=self.platform,
             rng=self.rng,
-            incarnation=1,
-            version=follower.version,
-            on_version=follower.hear_version,
+            apply=apply,
         )
-        follower.use_members(members)
+        members, follower = control.members, control.follower
         self.followers[peer.name] = follower
         self.tasks[peer.name] = asyncio.create_task(self._run(members, follower))
 
--- a/src/heatherpier/fleet/tests/conftest.py
+++ b/src/heatherpier/fleet/tests/conftest.py
@@ -5,8 +5,8 @@
 
 import pytest
 
-from heatherpier.bench import MemoryFleet
-from heatherpier.fleet import Codec, Membership, Peer
+from heatherpier.bench import MemoryFleet, make_peers
+from heatherpier.fleet import Codec, Membership
 from heatherpier.fleet._membership import MEMBERSHIP_MESSAGES
 
 PLACES = ("north-a", "central-a", "south-a")
@@ -24,15 +24,7 @@
         self.nodes = {}
         self.tasks = {}
         self.versions = {}
-        self.peers = [
-            Peer(
-                name=f"proxy-{number}",
-                host="10.0.0.1",
-                port=4000 + number,
-                data_centre=PLACES[number % len(PLACES)],
-            )
-            for number in range(count)
-        ]
+        self.peers = make_peers(count, places=PLACES)
 
     async def start(self, peer, *, incarnation=1, seeds=None):
         node = Membership(
