Take test ports below the range of outgoing connections

Cause: a port that was free when asked for could be taken by any outgoing connection before its listener started, so a test could fail by chance. After: the tests that start listeners pass.

--- a/src/heatherpier/bench/_processes.py
+++ b/src/heatherpier/bench/_processes.py
@@ -1,12 +1,14 @@
 """Starts and ends the real processes of a deployment on loopback."""
 
 import asyncio
+import itertools
 import json
+import os
 import signal
 import socket
 import subprocess
 import sys
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -14,6 +16,9 @@
 START_TIMEOUT_S = 15.0
 STOP_TIMEOUT_S = 15.0
 POLL_S = 0.05
+FIRST_PORT = 12_000
+PORTS = 20_000
+PORT_STRIDE = 211
 
 
 class ProcessError(Exception):
@@ -119,12 +124,29 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Returns ports of loopback that nothing listens at."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for sock in sockets:
-            sock.bind(("127.0.0.1", 0))
-        return [int(sock.getsockname()[1]) for sock in sockets]
-    finally:
-        for sock in sockets:
-            sock.close()
+    """Returns ports of loopback that nothing listens at.
+
+    They lie below the range from which the system takes ports for outgoing
+    connections, so none is taken between this call and the listener's start.
+    """
+    ports: list[int] = []
+    while len(ports) < count:
+        port = next(_candidates)
+        with socket.socket() as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        ports.append(port)
+    return ports
+
+
+def _walk_ports() -> Iterator[int]:
+    # Processes that run at once start at different places.
+    start = os.getpid() * PORT_STRIDE
+    for step in itertools.count():
+        yield FIRST_PORT + (start + step) % PORTS
+
+
+_candidates = _walk_ports()
