Run the demo with its platform, and wait for a primary before it is lost

Cause: the demo left the platform out, and failed once when both questions for a primary were refused by the limit on connections. Change: the platform runs and the proxies join by it; the demo asks again.

--- a/src/heatherpier/bench/_demo.py
+++ b/src/heatherpier/bench/_demo.py
@@ -79,6 +79,7 @@
                         processes=processes,
                         directory=directory,
                         proxies=proxies,
+                        with_platform=True,
                     )
                     return await _Demo(fleet, seed=seed).run()
             except TimeoutError:
@@ -165,6 +166,13 @@
         return name
 
     async def _primary(self, group: str) -> str:
+        # An instance may refuse one more connection for a moment; the demo's own
+        # time limit ends the wait.
+        while not (leaders := await self._leaders(group)):
+            await asyncio.sleep(POLL_S)
+        return max(leaders)[1]
+
+    async def _leaders(self, group: str) -> list[tuple[int, str]]:
         leaders: list[tuple[int, str]] = []
         for instance in self._fleet.addresses[group]:
             try:
@@ -173,7 +181,7 @@
                 continue
             if term:
                 leaders.append((term, instance.name))
-        return max(leaders)[1]
+        return leaders
 
     async def _led_term(self, instance: Instance) -> int:
         conn = await self._connector.connect(instance)
