Read a hint comment in one pass

Cause: the pattern skipped blanks before the end of the comment, so a comment of blanks without end took quadratic time and stopped the proxy for all callers.

--- a/src/heatherpier/sessions/_hints.py
+++ b/src/heatherpier/sessions/_hints.py
@@ -9,7 +9,7 @@
 from heatherpier.sessions._errors import InvalidHintError
 
 PREFIX = "heatherpier_"
-COMMENT = re.compile(r"\s*/\*\s*heatherpier:\s*(.*?)\s*\*/\s*", re.S | re.I)
+COMMENT = re.compile(r"\s*/\*\s*heatherpier:(.*?)\*/\s*", re.S | re.I)
 NAME_CHARS = re.compile(r"[\x21-\x7e]+")
 MAX_NAME_CHARS = 128
 MAX_AGE_LIMIT_MS = 86_400_000
--- a/src/heatherpier/sessions/tests/test_hints.py
+++ b/src/heatherpier/sessions/tests/test_hints.py
@@ -90,3 +90,8 @@
     assert first.overridden(SessionHints(key="b")) == SessionHints(
         key="b", max_age_ms=5
     )
+
+
+def test_comment_of_blanks_without_end_is_read_in_one_pass():
+    sql = "/* heatherpier: a" + " " * 500_000 + "b"
+    assert split_comment(sql).sql == sql
