--- a/src/heatherpier/bench/tests/test_configuration_in_force.py
+++ b/src/heatherpier/bench/tests/test_configuration_in_force.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import json
+import re
 import subprocess
 import sys
 
@@ -56,18 +57,22 @@
     )
 
 
-def write_document(tmp_path, *, user):
+def write_document(tmp_path, *, user=None, leaving=()):
     document = json.loads((tmp_path / "document.json").read_text())
-    document["services"][0]["users"][0]["name"] = user
+    service = document["services"][0]
+    service["users"][0]["name"] = user or service["users"][0]["name"]
+    for instance in service["groups"][0]["instances"]:
+        instance["leaving"] = instance["name"] in leaving
     (tmp_path / "changed.json").write_text(json.dumps(document))
 
 
-async def wait_for_version(fleet, version):
+async def wait_for_status(fleet, wanted):
+    """Waits until the status of every proxy holds the pattern ``wanted``."""
     for join in fleet.joins:
         admin = f"127.0.0.1:{join['admin']['port']}"
         for _ in range(POLLS):
             status = await asyncio.to_thread(run_command, "status", f"--admin={admin}")
-            if f"configuration {version}" in status.stdout:
+            if re.search(wanted, status.stdout):
                 break
             await asyncio.sleep(POLL_S)
         else:
@@ -92,8 +97,20 @@
     write_document(tmp_path, user="night-desk")
     accepted = submit(tmp_path, "changed.json", submission="s1", base=0)
     assert accepted.stdout == "accepted: version 1\n"
-    await wait_for_version(fleet, 1)
+    await wait_for_status(fleet, "configuration 1")
     assert {call(proxy, user="night-desk") for proxy in fleet.proxies} == {(1,)}
     loser = submit(tmp_path, "document.json", submission="s2", base=0)
     assert loser.returncode == 1
     assert "version 1 by 'mai' was accepted first" in loser.stderr
+
+
+async def test_primary_that_is_marked_leaving_hands_over_on_real_processes(
+    fleet, tmp_path
+):
+    primary = fleet.instances[ONE_GROUP.group_names()[0]][0].name
+    await wait_for_status(fleet, f"primary {primary}, term 1")
+    write_document(tmp_path, leaving={primary})
+    accepted = submit(tmp_path, "changed.json", submission="s1", base=0)
+    assert accepted.returncode == 0
+    await wait_for_status(fleet, rf"primary (?!{primary}|none)\S+, term [2-9]")
+    assert call(fleet.proxies[0], user=ONE_GROUP.user) == (1,)
