--- a/src/heatherpier/_cli.py
+++ b/src/heatherpier/_cli.py
@@ -10,6 +10,7 @@
   heatherpier bench platform --settings=FILE
   heatherpier bench instance --settings=FILE
   heatherpier bench demo [--deployment=NAME] [--proxies=N] [--seed=N]
+  heatherpier bench restart [--deployment=NAME] [--proxies=N] [--seed=N]
   heatherpier bench writes
   heatherpier bench reads [--deployment=NAME] [--proxies=N] [--seed=N]
   heatherpier bench overload [--proxies=N] [--seed=N]
--- a/src/heatherpier/bench/_commands.py
+++ b/src/heatherpier/bench/_commands.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from heatherpier.bench._control_cost import describe, measure_control
-from heatherpier.bench._demo import run_demo
+from heatherpier.bench._demo import Plan, RollingRestart, run_demo
 from heatherpier.bench._deployment import DEPLOYMENTS, Deployment
 from heatherpier.bench._failover_report import print_failover
 from heatherpier.bench._faults import run_faults
@@ -61,6 +61,8 @@
         return _run_load(args)
     if args["faults"]:
         return _run_faults(args)
+    if args["restart"]:
+        return _run_demo(args, plan=RollingRestart())
     if args["control"]:
         return _run_control(args)
     if args["scale"]:
@@ -96,12 +98,13 @@
     return EXIT_OK if served else EXIT_FAILED
 
 
-def _run_demo(args: Mapping[str, Any]) -> int:
+def _run_demo(args: Mapping[str, Any], *, plan: Plan | None = None) -> int:
     broken = asyncio.run(
         run_demo(
             _deployment(args),
             proxies=_integer(args, "--proxies", least=1),
             seed=_seed(args),
+            plan=plan,
         )
     )
     return EXIT_FAILED if broken else EXIT_OK
--- a/src/heatherpier/bench/_demo.py
+++ b/src/heatherpier/bench/_demo.py
@@ -32,6 +32,8 @@
 RATE = 12.0
 LONGEST_S = 85.0
 DURATION_S = 34.0
+RESTART_DURATION_S = 48.0
+FIRST_RESTART_S = 3.0
 KILL_PRIMARY_S = 5.0
 PAUSE_PRIMARY_S = 12.0
 RESUME_PRIMARY_S = 19.0
@@ -60,14 +62,43 @@
     until: float
 
 
-async def run_demo(deployment: Deployment, *, proxies: int, seed: int) -> int:
+@dataclass(frozen=True, slots=True)
+class Failures:
+    """Loses primaries and proxies while callers work.
+
+    Attributes:
+        duration_s: Time in seconds over which operations arrive.
+    """
+
+    duration_s: float = DURATION_S
+
+
+@dataclass(frozen=True, slots=True)
+class RollingRestart:
+    """Stops each proxy gracefully in turn and starts it again.
+
+    Attributes:
+        duration_s: Time in seconds over which operations arrive.
+    """
+
+    duration_s: float = RESTART_DURATION_S
+
+
+Plan = Failures | RollingRestart
+
+
+async def run_demo(
+    deployment: Deployment, *, proxies: int, seed: int, plan: Plan | None = None
+) -> int:
     """Runs the demo, prints its table and returns the count of broken promises.
 
     Args:
         deployment: Which deployment to start.
         proxies: Count of proxies.
         seed: Seed of the load and of the choice of what fails.
+        plan: What happens meanwhile; by default failures.
     """
+    plan = plan or Failures()
     with tempfile.TemporaryDirectory(prefix="heatherpier-demo-") as name:
         directory = Path(name)
         async with Processes(directory) as processes:
@@ -81,7 +112,7 @@
                         proxies=proxies,
                         with_platform=True,
                     )
-                    return await _Demo(fleet, seed=seed).run()
+                    return await _Demo(fleet, seed=seed, plan=plan).run()
             except TimeoutError:
                 print(f"NOT DONE within {LONGEST_S:.0f} s, seed {seed}", flush=True)
                 return 1
@@ -90,8 +121,9 @@
 class _Demo:
     """One run over a started fleet."""
 
-    def __init__(self, fleet: Fleet, *, seed: int) -> None:
+    def __init__(self, fleet: Fleet, *, seed: int, plan: Plan) -> None:
         self._fleet = fleet
+        self._plan = plan
         self._seed = seed
         self._rng = random.Random(seed)
         self._losses: list[Loss] = []
@@ -105,7 +137,7 @@
             mix=self._mix,
             groups={name: deployment.database(name) for name in fleet.instances},
             rate=RATE,
-            duration_s=DURATION_S,
+            duration_s=plan.duration_s,
             seed=seed,
         )
         self._load = Load(spec, proxies=list(caller_endpoints(fleet)))
@@ -138,6 +170,19 @@
         return len(violations) + len(unserved)
 
     async def _break(self) -> None:
+        match self._plan:
+            case Failures():
+                await self._cause_failures()
+            case RollingRestart():
+                await self._restart_all()
+
+    async def _restart_all(self) -> None:
+        await asyncio.sleep(FIRST_RESTART_S)
+        for proxy in self._fleet.proxies:
+            await self._stop(proxy.name)
+            await self._fleet.processes.restart(proxy.name)
+
+    async def _cause_failures(self) -> None:
         start = self._now()
         groups = list(self._fleet.instances)
         self._rng.shuffle(groups)
--- a/src/heatherpier/bench/_processes.py
+++ b/src/heatherpier/bench/_processes.py
@@ -108,6 +108,17 @@
         log = (self._directory / f"{process.name}.log").read_text(encoding="utf-8")
         raise ProcessError(f"{process.name} does not listen: {log[-2000:]}")
 
+    async def restart(self, name: str) -> None:
+        """Starts an ended process again with the settings that it had.
+
+        Raises:
+            ProcessError: It ended, or did not listen in time.
+        """
+        process = self.started[name]
+        with (self._directory / f"{name}.log").open("ab") as log:
+            process.popen = subprocess.Popen(process.popen.args, stdout=log, stderr=log)
+        await self._wait_for_port(process)
+
     async def stop(self, name: str) -> int:
         """Ends a process by SIGTERM and returns its exit code.
 
