--- a/src/heatherpier/bench/_commands.py
+++ b/src/heatherpier/bench/_commands.py
@@ -4,7 +4,7 @@
 import dataclasses
 import json
 import random
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from pathlib import Path
 from typing import Any
 
@@ -33,41 +33,37 @@
     Raises:
         InvalidSettingsError: An argument is wrong.
     """
-    if args["platform"]:
-        asyncio.run(run_platform(Path(args["--settings"])))
-        return EXIT_OK
-    if args["instance"]:
-        asyncio.run(run_instance(Path(args["--settings"])))
-        return EXIT_OK
-    if args["writes"]:
-        print_write_costs()
-        return EXIT_OK
-    if args["failover"]:
-        print_failover()
-        return EXIT_OK
-    if args["overload"]:
-        proxies = _integer(args, "--proxies", least=1)
-        run_overload(proxies=proxies, seed=_seed(args))
-        return EXIT_OK
-    if args["cost"]:
-        return _run_cost()
-    return _run_measured(args)
-
-
-def _run_measured(args: Mapping[str, Any]) -> int:
-    if args["reads"]:
-        return _run_reads(args)
-    if args["load"]:
-        return _run_load(args)
-    if args["faults"]:
-        return _run_faults(args)
-    if args["restart"]:
-        return _run_demo(args, plan=RollingRestart())
-    if args["control"]:
-        return _run_control(args)
-    if args["scale"]:
-        return _run_scale(args)
-    return _run_demo(args)
+    chosen = next(command for name, command in COMMANDS.items() if args[name])
+    return chosen(args)
+
+
+def _run_platform_process(args: Mapping[str, Any]) -> int:
+    asyncio.run(run_platform(Path(args["--settings"])))
+    return EXIT_OK
+
+
+def _run_instance_process(args: Mapping[str, Any]) -> int:
+    asyncio.run(run_instance(Path(args["--settings"])))
+    return EXIT_OK
+
+
+def _run_writes(args: Mapping[str, Any]) -> int:
+    print_write_costs()
+    return EXIT_OK
+
+
+def _run_failover(args: Mapping[str, Any]) -> int:
+    print_failover()
+    return EXIT_OK
+
+
+def _run_overload(args: Mapping[str, Any]) -> int:
+    run_overload(proxies=_integer(args, "--proxies", least=1), seed=_seed(args))
+    return EXIT_OK
+
+
+def _run_restart(args: Mapping[str, Any]) -> int:
+    return _run_demo(args, plan=RollingRestart())
 
 
 def _run_control(args: Mapping[str, Any]) -> int:
@@ -124,7 +120,7 @@
     return EXIT_OK
 
 
-def _run_cost() -> int:
+def _run_cost(args: Mapping[str, Any]) -> int:
     # psutil is needed by this command alone and is no requirement of the proxy.
     from heatherpier.bench._cost import measure_cost
 
@@ -159,3 +155,20 @@
             option, [f"expected a whole number from {least}, got {text!r}"]
         )
     return int(text)
+
+
+COMMANDS: Mapping[str, Callable[[Mapping[str, Any]], int]] = {
+    "control": _run_control,
+    "cost": _run_cost,
+    "demo": _run_demo,
+    "failover": _run_failover,
+    "faults": _run_faults,
+    "instance": _run_instance_process,
+    "load": _run_load,
+    "overload": _run_overload,
+    "platform": _run_platform_process,
+    "reads": _run_reads,
+    "restart": _run_restart,
+    "scale": _run_scale,
+    "writes": _run_writes,
+}
