Cut a proxy from the platform by one link of the bench

Cause: the scale run and a test each had a store that can't be reached, and Follower had a public method that only they used. Change: PlatformLink in the bench, switched off by its flag; use_stores is gone.

--- a/src/heatherpier/bench/_memory_control.py
+++ b/src/heatherpier/bench/_memory_control.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from heatherpier.bench._memory_peers import MemoryFleet
-from heatherpier.bench._platform import MemoryPlatform
+from heatherpier.bench._platform import MemoryPlatform, PlatformLink
 from heatherpier.configuration import Follower
 from heatherpier.fleet import Membership, Peer
 from heatherpier.settings import Document
@@ -20,10 +20,12 @@
     Attributes:
         members: Its membership.
         follower: Its configuration.
+        link: Its way to the platform, which can be cut.
     """
 
     members: Membership
     follower: Follower
+    link: PlatformLink
 
 
 def make_control(
@@ -44,9 +46,10 @@
         apply: Puts a document in force.
     """
     network = fleet.network(peer)
+    link = PlatformLink(platform)
     follower = Follower(
-        tables=platform,
-        objects=platform,
+        tables=link,
+        objects=link,
         network=network,
         timers=fleet.timers,
         rng=rng,
@@ -62,7 +65,7 @@
         on_version=follower.hear_version,
     )
     follower.use_members(members)
-    return MemoryControl(members=members, follower=follower)
+    return MemoryControl(members=members, follower=follower, link=link)
 
 
 def make_peers(count: int, *, places: tuple[str, ...]) -> list[Peer]:
--- a/src/heatherpier/bench/_platform.py
+++ b/src/heatherpier/bench/_platform.py
@@ -93,3 +93,36 @@
             raise ThrottledError("too many calls")
         if self.faults.down:
             raise PlatformUnavailableError("platform is down")
+
+
+class PlatformLink:
+    """The platform as one proxy reaches it.
+
+    Args:
+        platform: The platform.
+    """
+
+    def __init__(self, platform: MemoryPlatform) -> None:
+        self.cut = False
+        self._platform = platform
+
+    def _reach(self) -> MemoryPlatform:
+        if self.cut:
+            raise PlatformUnavailableError("cut off from the platform")
+        return self._platform
+
+    async def get(self, key: str) -> Record | None:
+        """Returns the record, or None if there is none."""
+        return await self._reach().get(key)
+
+    async def put(self, record: Record) -> None:
+        """Writes ``record`` if the stored version is the one before its own."""
+        await self._reach().put(record)
+
+    async def get_object(self, name: str) -> bytes | None:
+        """Returns the blob, or None if there is none."""
+        return await self._reach().get_object(name)
+
+    async def put_object(self, name: str, body: bytes) -> None:
+        """Stores a blob."""
+        await self._reach().put_object(name, body)
--- a/src/heatherpier/bench/_scale.py
+++ b/src/heatherpier/bench/_scale.py
@@ -16,11 +16,10 @@
 
 from heatherpier.bench._memory_control import make_control, make_peers
 from heatherpier.bench._memory_peers import MemoryFleet
-from heatherpier.bench._platform import MemoryPlatform
+from heatherpier.bench._platform import MemoryPlatform, PlatformLink
 from heatherpier.configuration import MESSAGES as CONFIGURATION_MESSAGES
 from heatherpier.configuration import Follower, Publisher, Submission
 from heatherpier.fleet import MEMBERSHIP_MESSAGES, Codec, Membership, Peer, State
-from heatherpier.platform import PlatformUnavailableError
 from heatherpier.settings import Document
 from heatherpier.timers import LoopTimers, Timers, VirtualTimeLoop
 
@@ -104,6 +103,7 @@
         self._peers = make_peers(nodes, places=PLACES)
         self._members: dict[str, Membership] = {}
         self._followers: dict[str, Follower] = {}
+        self._links: dict[str, PlatformLink] = {}
         self._tasks: dict[str, asyncio.Task[None]] = {}
         self._version = 0
 
@@ -149,6 +149,7 @@
             apply=_apply,
         )
         members, follower = control.members, control.follower
+        self._links[peer.name] = control.link
         self._members[peer.name] = members
         self._followers[peer.name] = follower
         self._tasks[peer.name] = asyncio.create_task(self._live(members, follower))
@@ -224,7 +225,7 @@
                 self._fleet.cut(place, other)
         inside = [peer for peer in self._peers if peer.data_centre in cut_off]
         for peer in inside:
-            self._followers[peer.name].use_stores(_Unreachable(), _Unreachable())
+            self._links[peer.name].cut = True
         await self._submit()
         await self._timers.sleep(CUT_S)
         self._fleet.heal()
@@ -246,22 +247,6 @@
             await follower.close()
 
 
-class _Unreachable:
-    """A platform that a cut region can't reach."""
-
-    async def get(self, key: str) -> Any:
-        raise PlatformUnavailableError(key)
-
-    async def put(self, record: Any) -> None:
-        raise PlatformUnavailableError(record.key)
-
-    async def get_object(self, name: str) -> bytes | None:
-        raise PlatformUnavailableError(name)
-
-    async def put_object(self, name: str, body: bytes) -> None:
-        raise PlatformUnavailableError(name)
-
-
 async def _apply(document: Document, version: int) -> None:
     return None
 
--- a/src/heatherpier/configuration/_follower.py
+++ b/src/heatherpier/configuration/_follower.py
@@ -94,11 +94,6 @@
         """Sets whom to tell of new heads."""
         self._members = members
 
-    def use_stores(self, tables: TableStore, objects: ObjectStore) -> None:
-        """Sets where the head and the blobs are read from."""
-        self._tables = tables
-        self._objects = objects
-
     def hear_version(self, peer: Peer, version: int) -> None:
         """Takes in which version is in force at a peer."""
         if version > self.version():
--- a/src/heatherpier/configuration/tests/conftest.py
+++ b/src/heatherpier/configuration/tests/conftest.py
@@ -54,6 +54,7 @@
             tables=self.platform, objects=self.platform, timers=timers
         )
         self.followers = {}
+        self.links = {}
         self.applied = {}
         self.tasks = {}
         self.peers = make_peers(count, places=PLACES)
@@ -72,6 +73,7 @@
             apply=apply,
         )
         members, follower = control.members, control.follower
+        self.links[peer.name] = control.link
         self.followers[peer.name] = follower
         self.tasks[peer.name] = asyncio.create_task(self._run(members, follower))
 
--- a/src/heatherpier/configuration/tests/test_follower.py
+++ b/src/heatherpier/configuration/tests/test_follower.py
@@ -5,7 +5,7 @@
 
 from heatherpier.configuration._head import BLOB_PREFIX, HEAD_KEY, digest
 from heatherpier.configuration.tests.conftest import make_document
-from heatherpier.platform import PlatformUnavailableError, Record
+from heatherpier.platform import Record
 
 # The target for a fleet of 12; 11 s is that for 1,300 nodes.
 IN_FORCE_S = 3
@@ -43,7 +43,7 @@
 async def test_data_centre_cut_from_the_store_learns_from_peers(first):
     for peer in first.peers:
         if peer.data_centre == "south-a":
-            first.followers[peer.name].use_stores(Unreachable(), Unreachable())
+            first.links[peer.name].cut = True
     await first.submit(make_document("claims"), submission="s2", base_version=1)
     await first.timers.sleep(IN_FORCE_S)
     assert first.versions() == {2}
@@ -54,7 +54,7 @@
     first.fleet.cut("south-a", "central-a")
     for peer in first.peers:
         if peer.data_centre == "south-a":
-            first.followers[peer.name].use_stores(Unreachable(), Unreachable())
+            first.links[peer.name].cut = True
     await first.submit(make_document("claims"), submission="s2", base_version=1)
     await first.timers.sleep(20)
     assert first.versions() == {1, 2}
@@ -106,13 +106,3 @@
     name = digest(body)
     await proxies.platform.put_object(BLOB_PREFIX + name, body)
     return name.encode()
-
-
-class Unreachable:
-    """A store that this proxy can't reach."""
-
-    async def get(self, key):
-        raise PlatformUnavailableError(key)
-
-    async def get_object(self, name):
-        raise PlatformUnavailableError(name)
