Pass on deletions of rows that a copy never held, and keep deleted rows deleted

Cause: a copy dropped the deletion of a row it had not seen. A proxy that follows by it, and that had the row from another peer between two watches, kept the row: a member that nobody can ask, for which each change of primary waits. An answer that came late also brought a deleted row back, as only rows in the copy were compared. Ruled out: registry and view already pass over deletions of names they don't know. Change: such deletions are kept and told on; a row at or below the version of its deletion, or of the last whole read that lacked it, is not taken. Before: two of the six new tests of the copy failed.

--- a/src/heatherpier/feeds/_copy.py
+++ b/src/heatherpier/feeds/_copy.py
@@ -31,6 +31,9 @@
         self._rows: dict[str, Row] = {}
         # Deleted rows since the last whole read, by key.
         self._deleted: dict[str, Row] = {}
+        # Version of the last whole read; a row that it lacked was deleted before.
+        self._read_at = 0
+        # Deletions since this version are all known.
         self._whole_since = 0
         self._as_of: float | None = None
         self._listeners: list[RowListener] = []
@@ -70,32 +73,58 @@
             return
         present = {row.key for row in changes.rows}
         for key in self._rows.keys() - present:
-            self.take_row(Row(key=key, version=changes.version, body=None))
+            self._delete(Row(key=key, version=changes.version, body=None))
         self._deleted.clear()
-        self._whole_since = changes.version
-        self.apply(changes)
+        self._read_at = self._whole_since = changes.version
+        for row in changes.rows:
+            if not self._knows(row):
+                self._write(row)
+        self._note_complete(changes)
 
     def apply(self, changes: Changes) -> None:
         """Takes in changed rows and the moment up to which they are complete."""
         for row in changes.rows:
             self.take_row(row)
-        self.version = max(self.version, changes.version)
-        if self._as_of is None or changes.as_of > self._as_of:
-            self._as_of = changes.as_of
+        self._note_complete(changes)
 
     def take_row(self, row: Row) -> None:
         """Takes in one row unless the same or a newer one is known."""
-        known = self._rows.get(row.key)
-        if known is not None and known.version >= row.version:
+        if self._knows(row) or self._knows_deleted(row):
             return
         if row.body is None:
-            if known is None:
-                return
-            del self._rows[row.key]
-            self._note_deleted(row)
+            self._delete(row)
         else:
-            self._rows[row.key] = row
-            self._deleted.pop(row.key, None)
+            self._write(row)
+
+    def _note_complete(self, changes: Changes) -> None:
+        self.version = max(self.version, changes.version)
+        if self._as_of is None or changes.as_of > self._as_of:
+            self._as_of = changes.as_of
+
+    def _knows(self, row: Row) -> bool:
+        known = self._rows.get(row.key)
+        return known is not None and known.version >= row.version
+
+    def _knows_deleted(self, row: Row) -> bool:
+        """Tells whether a row was deleted after this version of it."""
+        if row.key in self._rows:
+            return False
+        deleted = self._deleted.get(row.key)
+        deleted_at = self._read_at if deleted is None else deleted.version
+        return row.version <= deleted_at
+
+    def _write(self, row: Row) -> None:
+        self._rows[row.key] = row
+        self._deleted.pop(row.key, None)
+        self._notify(row)
+
+    def _delete(self, row: Row) -> None:
+        # Proxies that ask here may have seen a row that this one never saw.
+        self._rows.pop(row.key, None)
+        self._note_deleted(row)
+        self._notify(row)
+
+    def _notify(self, row: Row) -> None:
         for listener in self._listeners:
             listener(row)
 
--- /dev/null
+++ b/src/heatherpier/feeds/tests/test_copy.py
@@ -0,0 +1,56 @@
+"""What a copy of a table knows, and passes on to other proxies."""
+
+import pytest
+
+from heatherpier.feeds import Changes, Row, TableCopy
+
+
+@pytest.fixture
+def copy(timers):
+    copy = TableCopy("fleet", timers=timers)
+    copy.replace(changes(row("member/a", 3), version=5))
+    return copy
+
+
+def row(key, version, body=b"x"):
+    return Row(key=key, version=version, body=body)
+
+
+def changes(*rows, version):
+    return Changes(rows=rows, version=version, as_of=0.0)
+
+
+async def test_an_older_row_does_not_replace_a_newer_one(copy):
+    copy.take_row(row("member/a", 7, b"new"))
+    copy.take_row(row("member/a", 6, b"old"))
+    assert copy.get("member/a").body == b"new"
+
+
+async def test_the_deletion_of_a_row_is_passed_on(copy):
+    copy.apply(changes(row("member/a", 6, None), version=6))
+    assert copy.changes_since(5) == (row("member/a", 6, None),)
+
+
+async def test_the_deletion_of_a_row_that_was_never_seen_is_passed_on(copy):
+    # Another proxy may have seen the row at version 6, between the two watches.
+    copy.apply(changes(row("member/b", 7, None), version=7))
+    assert copy.changes_since(6) == (row("member/b", 7, None),)
+
+
+async def test_changes_from_before_the_first_read_are_not_known(copy):
+    assert copy.changes_since(4) is None
+
+
+async def test_a_deletion_is_reported_once(copy):
+    seen = []
+    copy.subscribe(seen.append)
+    deletion = row("member/a", 6, None)
+    copy.apply(changes(deletion, version=6))
+    copy.take_row(deletion)
+    assert seen == [deletion]
+
+
+async def test_a_row_that_was_deleted_does_not_come_back_by_an_older_answer(copy):
+    copy.apply(changes(row("member/a", 6, None), version=6))
+    copy.take_row(row("member/a", 3))
+    assert copy.get("member/a") is None
