Learn earlier panels from peers and from the table's beginning

Cause: a change of primary that one proxy does not answer may go on once enough of each panel that its promises may rest on have released. Ruled out: leaving the change to an older proxy (all may be new, and it may not have noticed yet); asking the store for an older version (a dropped history looks like an old one). Change: answers to a release carry what the peer knows of earlier panels and removals, taken over if it reaches the own first read; the fleet's table is read by its changes since the beginning first, so a young table needs no telling. A member that came and went unseen, and a whole read after lost history, end what is known.

--- a/src/heatherpier/_line_engine.py
+++ b/src/heatherpier/_line_engine.py
@@ -193,6 +193,7 @@
                 rng=rng,
                 wait_s=wait_s,
                 gate=peer_watch.direct,
+                from_beginning=copy is self.view.copy,
             )
             self._start(follower.run())
         registration = Registration(
--- a/src/heatherpier/feeds/_copy.py
+++ b/src/heatherpier/feeds/_copy.py
@@ -22,18 +22,23 @@
         table: Name of the table.
         version: The store's version that the rows are complete up to; 0 while
             nothing was read.
+        read_version: The store's version of the last whole read.
+        followed_since: Time in seconds by `Timers.elapsed` of the last whole read; all
+            changes after it were taken in. It is infinite before the first read, and
+            minus infinite if the changes since the table's beginning are known.
     """
 
     def __init__(self, table: str, *, timers: Timers) -> None:
         self.table = table
         self.version = 0
+        self.read_version = 0
+        self.followed_since = float("inf")
         self._timers = timers
         self._rows: dict[str, Row] = {}
         # Deleted rows since the last whole read, by key.
         self._deleted: dict[str, Row] = {}
-        # Version of the last whole read; a row that it lacked was deleted before.
-        self._read_at = 0
-        # Deletions since this version are all known.
+        # Deletions since this version are all known; a row that the last whole read
+        # lacked was deleted before it.
         self._whole_since = 0
         self._as_of: float | None = None
         self._listeners: list[RowListener] = []
@@ -75,12 +80,19 @@
         for key in self._rows.keys() - present:
             self._delete(Row(key=key, version=changes.version, body=None))
         self._deleted.clear()
-        self._read_at = self._whole_since = changes.version
+        self.followed_since = self._timers.elapsed()
+        self.read_version = self._whole_since = changes.version
         for row in changes.rows:
             if not self._knows(row):
                 self._write(row)
         self._note_complete(changes)
 
+    def begin(self, changes: Changes) -> None:
+        """Takes in all changes since the table's beginning."""
+        if self.version == 0:
+            self.followed_since = float("-inf")
+        self.apply(changes)
+
     def apply(self, changes: Changes) -> None:
         """Takes in changed rows and the moment up to which they are complete."""
         for row in changes.rows:
@@ -97,6 +109,9 @@
             self._write(row)
 
     def _note_complete(self, changes: Changes) -> None:
+        if self.followed_since == float("inf"):
+            self.followed_since = self._timers.elapsed()
+            self.read_version = changes.version
         self.version = max(self.version, changes.version)
         if self._as_of is None or changes.as_of > self._as_of:
             self._as_of = changes.as_of
@@ -110,7 +125,7 @@
         if row.key in self._rows:
             return False
         deleted = self._deleted.get(row.key)
-        deleted_at = self._read_at if deleted is None else deleted.version
+        deleted_at = self.read_version if deleted is None else deleted.version
         return row.version <= deleted_at
 
     def _write(self, row: Row) -> None:
--- a/src/heatherpier/feeds/_follower.py
+++ b/src/heatherpier/feeds/_follower.py
@@ -27,6 +27,8 @@
         wait_s: Longest wait of one watch, in seconds. A connection that has gone
             silent is noticed after it.
         gate: The table is followed only while this is set, or always.
+        from_beginning: Whether all changes since the table's beginning are asked for
+            first, as a whole read does not tell what was deleted.
     """
 
     def __init__(
@@ -38,12 +40,14 @@
         rng: random.Random,
         wait_s: float,
         gate: asyncio.Event | None = None,
+        from_beginning: bool = False,
     ) -> None:
         self._store = store
         self._copy = copy
         self._timers = timers
         self._wait_s = wait_s
         self._gate = gate
+        self._from_beginning = from_beginning
         self._backoff = Backoff(
             rng=rng, first_s=FIRST_RETRY_S, longest_s=LONGEST_RETRY_S
         )
@@ -68,13 +72,24 @@
     async def _step(self) -> None:
         copy = self._copy
         if not self._complete:
-            copy.replace(await self._store.read_table(copy.table))
+            await self._read()
             self._complete = True
             return
         copy.apply(
             await self._store.watch(copy.table, after=copy.version, wait_s=self._wait_s)
         )
 
+    async def _read(self) -> None:
+        copy = self._copy
+        if copy.version == 0 and self._from_beginning:
+            try:
+                copy.begin(await self._store.watch(copy.table, after=0, wait_s=0.0))
+            except HistoryLostError as exc:
+                log.info("table has a past", table=copy.table, reason=str(exc))
+            else:
+                return
+        copy.replace(await self._store.read_table(copy.table))
+
     async def _note_failure(self, exc: StoreError) -> None:
         self.failures += 1
         if self.failures == 1:
--- a/src/heatherpier/feeds/tests/test_copy.py
+++ b/src/heatherpier/feeds/tests/test_copy.py
@@ -6,7 +6,7 @@
 
 
 @pytest.fixture
-def copy(timers):
+async def copy(timers):
     copy = TableCopy("fleet", timers=timers)
     copy.replace(changes(row("member/a", 3), version=5))
     return copy
--- /dev/null
+++ b/src/heatherpier/feeds/tests/test_follower.py
@@ -0,0 +1,76 @@
+"""How a table is read and followed."""
+
+import asyncio
+import random
+
+import pytest
+
+from heatherpier.bench._row_store import MemoryRowStore
+from heatherpier.feeds import TableCopy, TableFollower
+
+
+@pytest.fixture
+def store(timers):
+    return MemoryRowStore(timers=timers)
+
+
+@pytest.fixture
+async def follow(store, timers):
+    """Starts following and returns the copy."""
+    tasks = []
+
+    def start():
+        copy = TableCopy("fleet", timers=timers)
+        follower = TableFollower(
+            store=store.client("proxy-0"),
+            copy=copy,
+            timers=timers,
+            rng=random.Random(1),
+            wait_s=0.5,
+            from_beginning=True,
+        )
+        tasks.append(asyncio.create_task(follower.run()))
+        return copy
+
+    yield start
+    for task in tasks:
+        task.cancel()
+
+
+async def test_a_young_table_is_known_from_its_beginning(store, follow, timers):
+    store.write("fleet", "a", b"1")
+    store.write("fleet", "a", None)
+    copy = follow()
+    await timers.sleep(0.1)
+    assert copy.followed_since == float("-inf")
+    assert copy.rows() == ()
+
+
+async def test_a_table_whose_past_is_dropped_is_read_whole(store, follow, timers):
+    store.write("fleet", "a", b"1")
+    store.forget_history()
+    copy = follow()
+    await timers.sleep(0.1)
+    assert copy.followed_since == pytest.approx(timers.elapsed(), abs=0.1)
+    assert copy.get("a").body == b"1"
+
+
+async def test_dropped_history_ends_what_is_known(store, follow, timers):
+    copy = follow()
+    await timers.sleep(5.0)
+    store.write("other", "b", b"1")
+    store.forget_history()
+    await timers.sleep(1.0)
+    assert copy.followed_since > 4.0
+
+
+async def test_changes_are_followed_over_an_outage(store, follow, timers):
+    copy = follow()
+    await timers.sleep(0.1)
+    store.faults.silent.add("proxy-0")
+    await timers.sleep(5.0)
+    store.write("fleet", "a", b"2")
+    store.faults.silent.clear()
+    await timers.sleep(3.0)
+    assert copy.get("a").body == b"2"
+    assert copy.followed_since == float("-inf")
--- a/src/heatherpier/leases/_fence.py
+++ b/src/heatherpier/leases/_fence.py
@@ -126,7 +126,8 @@
         there = [self._release_at(peer, drain_s) for peer in self._links.others()]
         await asyncio.gather(here, *there)
         # A member that was removed lately could not be asked.
-        await self._sleep_until(self._view.last_removal() + LEASE_S * (1 + DRIFT))
+        removed_at = self._view.history.last_removal()
+        await self._sleep_until(removed_at + LEASE_S * (1 + DRIFT))
 
     async def _release_at(self, peer: Peer, drain_s: float) -> None:
         service = self._order.service
@@ -172,7 +173,7 @@
 
         Those that support a right may know an earlier panel.
         """
-        known = self._view.panels_since(
+        known = self._view.history.panels_since(
             self._timers.elapsed() - GRANTING_VIEW_S - GRANT_S
         )
         if known is None:
--- a/src/heatherpier/leases/_messages.py
+++ b/src/heatherpier/leases/_messages.py
@@ -1,8 +1,26 @@
 """Messages between proxies about views and rights."""
 
+import msgspec
+
 from heatherpier.fleet import Message
 
 
+class PastPanels(msgspec.Struct, frozen=True, kw_only=True):
+    """What a proxy knows of earlier panels.
+
+    Attributes:
+        version: Version of the fleet's table up to which it knows all.
+        known_s: For how long it has known all panels and removals, in seconds.
+        removed_s: How long ago the last member was removed, in seconds, at least.
+        panels: How long ago each panel ended, in seconds, and its names.
+    """
+
+    version: int
+    known_s: float
+    removed_s: float
+    panels: list[tuple[float, list[str]]]
+
+
 class ReleaseRequest(Message, frozen=True, kw_only=True, tag="release"):
     """Asks to end the use of a primary that is being replaced.
 
@@ -20,7 +38,13 @@
 
 
 class Released(Message, frozen=True, kw_only=True, tag="released"):
-    """The old primary is no longer used, and answers from it no longer count."""
+    """The old primary is no longer used, and answers from it no longer count.
+
+    Attributes:
+        past: What the peer knows of earlier panels, for one that began later.
+    """
+
+    past: PastPanels
 
 
 class ReachRequest(Message, frozen=True, kw_only=True, tag="reach"):
--- a/src/heatherpier/leases/_peers.py
+++ b/src/heatherpier/leases/_peers.py
@@ -140,7 +140,7 @@
             drain_s=drain_s,
         )
         try:
-            await self._network.request(
+            answer = await self._network.request(
                 peer, req, timeout_s=drain_s + GRANT_S + RELEASE_MARGIN_S
             )
         except PeerUnreachableError as exc:
@@ -155,6 +155,9 @@
                 reason=str(exc),
             )
             return ended
+        if not isinstance(answer, Released):
+            return False
+        self._view.history.learn(answer.past)
         return True
 
     async def has_ended(self, name: str) -> bool:
@@ -173,7 +176,7 @@
             # The row can't be read here, so nothing is promised.
             return None
         await self.release_here(req.service, drain_s=req.drain_s)
-        return Released()
+        return Released(past=self._view.history.describe())
 
     # Reaching an instance
 
--- a/src/heatherpier/leases/_view.py
+++ b/src/heatherpier/leases/_view.py
@@ -1,14 +1,13 @@
 """Members and leaders, as the store's table of the fleet has them."""
 
-from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
-from itertools import islice, zip_longest
 
 import msgspec
 
 from heatherpier.feeds import Row, TableCopy
 from heatherpier.fleet import Peer
+from heatherpier.leases._history import PanelHistory
 from heatherpier.leases._records import (
     LeadershipRecord,
     decode_leadership,
@@ -21,8 +20,6 @@
 # Table of members and leaders.
 FLEET_TABLE = "fleet"
 MEMBER_PREFIX = "member/"
-# How long earlier panels are remembered.
-MEMORY_S = 30.0
 # Members that watch primaries and support rights. The messages of a member don't grow
 # with the fleet beyond it, and three of its members may be lost at once.
 PANEL_MEMBERS = 7
@@ -51,18 +48,14 @@
 
     Attributes:
         copy: The copy.
+        history: Earlier panels and removals.
         leaders: Leadership by service.
         members: Registered proxies by name.
     """
 
     def __init__(self, copy: TableCopy, *, timers: Timers) -> None:
         self.copy = copy
-        self._timers = timers
-        # A member that was removed before this proxy began is not known here.
-        self._removed_at = timers.elapsed()
-        self._began_at = timers.elapsed()
-        # Who was on the panel, from which time on; the newest entry last.
-        self._panels: deque[tuple[float, frozenset[str]]] = deque()
+        self.history = PanelHistory(copy, timers=timers)
         self.leaders: dict[str, LeadershipRecord] = {}
         self.members: dict[str, MemberRecord] = {}
         self._listeners: list[Callable[[str], None]] = []
@@ -79,49 +72,11 @@
         """Returns all registered proxies."""
         return [item.peer for item in self.members.values()]
 
-    def last_removal(self) -> float:
-        """Returns when the last member may have been removed.
-
-        Returns:
-            Time in seconds by `Timers.elapsed`; not before this proxy's start.
-        """
-        return self._removed_at
-
     def panel(self) -> frozenset[str]:
         """Returns the names of the members that registered first."""
         oldest = sorted(self.members.values(), key=lambda item: item.version)
         return frozenset(item.peer.name for item in oldest[:PANEL_MEMBERS])
 
-    def panels_since(self, moment: float) -> list[frozenset[str]] | None:
-        """Returns each panel that was in office at some time since then.
-
-        Args:
-            moment: Time in seconds by `Timers.elapsed`, at most `MEMORY_S` ago.
-
-        Returns:
-            The sets of names, or None if this proxy did not follow them for so long.
-        """
-        if moment < self._began_at:
-            return None
-        return [
-            names
-            for (_, names), (ended, _) in zip_longest(
-                self._panels,
-                islice(self._panels, 1, None),
-                fillvalue=(float("inf"), frozenset()),
-            )
-            if ended >= moment
-        ]
-
-    def _note_panel(self) -> None:
-        now = self._timers.elapsed()
-        panel = self.panel()
-        if self._panels and self._panels[-1][1] == panel:
-            return
-        self._panels.append((now, panel))
-        while len(self._panels) > 1 and self._panels[1][0] < now - MEMORY_S:
-            self._panels.popleft()
-
     def _take(self, row: Row) -> None:
         if row.key.startswith(MEMBER_PREFIX):
             self._take_member(row.key.removeprefix(MEMBER_PREFIX), row)
@@ -130,20 +85,27 @@
 
     def _take_member(self, name: str, row: Row) -> None:
         if row.body is None:
-            self.members.pop(name, None)
-            self._removed_at = self._timers.elapsed()
-            self._note_panel()
-            log.info("member removed", member=name, version=row.version)
+            self._remove_member(name, row)
             return
         try:
             peer = decode_member(name, row.body)
         except msgspec.MsgspecError as exc:
             _report(row, exc)
             return
+        if self.members.pop(name, None) is not None:
+            # Its earlier row may have been removed in between.
+            self.history.note_panel(self.panel())
         self.members[name] = MemberRecord(peer=peer, version=row.version)
-        self._note_panel()
+        self.history.note_panel(self.panel())
         log.info("member known", member=name, version=row.version)
 
+    def _remove_member(self, name: str, row: Row) -> None:
+        if self.members.pop(name, None) is None:
+            self.history.note_gap(row.version)
+        self.history.note_removal()
+        self.history.note_panel(self.panel())
+        log.info("member removed", member=name, version=row.version)
+
     def _take_leader(self, service: str, row: Row) -> None:
         for listener in self._listeners:
             listener(service)
