--- a/src/heatherpier/leases/tests/test_random_faults.py
+++ b/src/heatherpier/leases/tests/test_random_faults.py
@@ -86,6 +86,7 @@
             self.refuse_store,
             self.lose_answers,
             self.forget_history,
+            self.strand,
         ]
 
     async def run(self):
@@ -162,6 +163,17 @@
         await self.world.timers.sleep(for_s)
         self.world.rejoin(name)
 
+    async def strand(self, for_s):
+        """Leaves the primary to one proxy that hears nothing of the others."""
+        name = self.rng.choice(self.world.names)
+        others = set(self.world.names) - {name}
+        primary = self.group.primary()
+        primary.cut_from |= others
+        self.world.isolate(name, instances=False)
+        await self.world.timers.sleep(for_s)
+        primary.cut_from -= others
+        self.world.rejoin(name)
+
     async def part_from_peers(self, for_s):
         name = self.rng.choice(self.world.names)
         self.world.fleet.stop(name)
