Do not wait for a silent primary while it is replaced

Cause: in a change of a primary that answers nothing, the holder asked it for its standing twice and waited 0.5 s each time; and peers were asked whether they reach it only after the own probe had timed out (0.4 s). Ruled out: the lease (all peers released within 0.03 s) and the promotion (0.6 s). Change: the old primary's standing is not asked for; it never was a candidate. Peers are asked once the own probe has been silent for 0.1 s, and the probe goes on beside.

--- a/src/heatherpier/leases/_changer.py
+++ b/src/heatherpier/leases/_changer.py
@@ -179,8 +179,15 @@
     # The new primary
 
     async def _standings(self, order: ChangeOrder) -> dict[str, Standing]:
-        """Returns the standings of all instances that answer."""
-        records = self._registry.of_service(order.service)
+        """Returns the standings of all instances that answer, but of the old primary.
+
+        A lost primary would only be waited for.
+        """
+        records = [
+            item
+            for item in self._registry.of_service(order.service)
+            if item.name != order.previous
+        ]
         answers = await asyncio.gather(*(self._standing(item) for item in records))
         return {
             item.name: answer
@@ -253,7 +260,7 @@
             candidates = [
                 (not record.instance.leaving, standings[name].position, name)
                 for name in standings
-                if name != order.previous and name not in refused
+                if name not in refused
                 if (record := self._registry.get(name)) is not None
             ]
             if not candidates:
--- a/src/heatherpier/leases/_watcher.py
+++ b/src/heatherpier/leases/_watcher.py
@@ -1,5 +1,6 @@
 """Notices that a service's primary is lost or leaves, and has it replaced."""
 
+import asyncio
 import random
 from collections.abc import Callable
 
@@ -31,6 +32,9 @@
 # A primary that failed work is probed after this long.
 SUSPECT_S = 0.1
 PROBE_TIMEOUT_S = 0.4
+# A primary that is well answers a probe within this time, over the longest way between
+# regions; then peers need not be asked.
+SURVEY_AFTER_S = 0.1
 # A proxy that reaches less than half of the others waits this long before it has a
 # primary replaced: it is more likely cut off itself, for some seconds.
 MINORITY_S = 6.0
@@ -225,21 +229,18 @@
         since = self._failing_since(known.name)
         if since is None or self._timers.now() - since < SUSPECT_S:
             return False
+        probing = asyncio.create_task(self._probe(known))
         try:
-            standing = await self._control.standing(known, timeout_s=PROBE_TIMEOUT_S)
-        except TurnedAwayError:
-            self._note_answer(known.name)
-            return False
-        except ControlError as exc:
-            log.info("primary suspected", instance=known.name, reason=str(exc))
-        else:
-            self._note_answer(known.name)
-            if not standing.leads:
-                log.info("primary no longer leads", instance=known.name)
-                return True
-            await self._timers.sleep(PROBE_REST_S)
-            return False
-        survey = await self._links.survey(known.name)
+            answers = await self._within(probing, SURVEY_AFTER_S)
+            if answers is None:
+                survey = await self._links.survey(known.name)
+                answers = await probing
+        finally:
+            probing.cancel()
+        if answers is not None:
+            if answers:
+                await self._timers.sleep(PROBE_REST_S)
+            return not answers
         lost = not survey.reaching
         if lost and survey.failing < release_quorum(survey.members):
             # Those that can't be asked may be well, and the primary with them.
@@ -255,3 +256,30 @@
         if not lost:
             await self._timers.sleep(PROBE_REST_S)
         return lost
+
+    async def _within(
+        self, probing: asyncio.Task[bool | None], limit_s: float
+    ) -> bool | None:
+        """Returns the outcome of a probe, or None if there is none yet."""
+        try:
+            async with self._timers.timeout(limit_s):
+                return await asyncio.shield(probing)
+        except TimeoutError:
+            # The probe goes on beside the survey.
+            return None
+
+    async def _probe(self, known: InstanceRecord) -> bool | None:
+        """Returns whether the primary leads, or None if it does not answer."""
+        try:
+            standing = await self._control.standing(known, timeout_s=PROBE_TIMEOUT_S)
+        except TurnedAwayError:
+            self._note_answer(known.name)
+            return True
+        except ControlError as exc:
+            log.info("primary suspected", instance=known.name, reason=str(exc))
+            return None
+        self._note_answer(known.name)
+        if not standing.leads:
+            log.info("primary no longer leads", instance=known.name)
+            return False
+        return True
--- a/src/heatherpier/leases/tests/test_change_of_primary.py
+++ b/src/heatherpier/leases/tests/test_change_of_primary.py
@@ -7,9 +7,22 @@
 import pytest
 
 from heatherpier.bench import ask
-from heatherpier.leases import LEASE_S, Changing, Led, encode_leadership
+from heatherpier.leases import (
+    LEASE_S,
+    Changing,
+    Led,
+    decode_leadership,
+    encode_leadership,
+)
 from heatherpier.leases._fence import Fence
 from heatherpier.leases._grants import GRANT_S, GRANTING_VIEW_S
+from heatherpier.leases._watcher import (
+    PROBE_TIMEOUT_S,
+    SPREAD_S,
+    SURVEY_AFTER_S,
+    SUSPECT_S,
+)
+from heatherpier.serving._health import SILENCE_S
 from heatherpier.statements import Done
 
 # The users ask for a change of primary that is over within this time.
@@ -275,3 +288,49 @@
 
 def test_a_lease_and_a_promotion_fit_into_the_time_for_a_change():
     assert LEASE_S + 1.0 < CHANGE_S
+
+
+# Time of a change beside the promotion: the store's answers, releases by peers and
+# the successor's standing, over the longest way between regions.
+CHANGE_MARGIN_S = 0.3
+# Ways of a question to a peer in another region and of a row to the store.
+WAYS_S = 0.1
+
+
+async def watch_change(world, timers, *, limit_s=CHANGE_S):
+    """Returns when a change of primary began and when it was over."""
+    until = timers.now() + limit_s
+    began = None
+    while timers.now() < until:
+        row = world.store.row("fleet", "leader/claims")
+        state = None if row is None else decode_leadership(row.body)
+        if began is None and isinstance(state, Changing):
+            began = timers.now()
+        if began is not None and isinstance(state, Led):
+            return began, timers.now()
+        await timers.sleep(0.01)
+    pytest.fail(f"no change was over within {limit_s} s")
+
+
+async def lose_under_load(world, group, timers):
+    """Silences the primary under writes; returns when it went, and the change."""
+    pressing = asyncio.create_task(press(world, timers, seconds=CHANGE_S))
+    await timers.sleep(1.0)
+    group.instances["claims-0"].silent = True
+    lost = timers.now()
+    began, over = await watch_change(world, timers)
+    await pressing
+    return lost, began, over
+
+
+async def test_a_change_does_not_wait_for_the_silent_primary(world, group, timers):
+    _, began, over = await lose_under_load(world, group, timers)
+    assert over - began < group.promote_s + CHANGE_MARGIN_S
+
+
+async def test_peers_are_asked_while_the_own_probe_of_a_primary_waits(
+    world, group, timers
+):
+    lost, began, _ = await lose_under_load(world, group, timers)
+    noticed_s = SILENCE_S + SUSPECT_S + SURVEY_AFTER_S + PROBE_TIMEOUT_S
+    assert began - lost < noticed_s + SPREAD_S + WAYS_S
