Put off a change of primary while few of the panel answer

When the primary's entry lapsed, the proxy that was alone began a change at 10.6 s, could not end it, was removed, and another took the change over after the split: no writes until 15.3 s. Only losses that the panel surveyed had the rule that a minority waits. Ruled out: an early removal of that proxy (those who could remove it had no store). Change: before any change that was not surveyed, half of the panel has to answer a ping, else it is put off by up to 6 s, as after a survey. The ping of half the panel moved from the liveness check to the links, and ends with the last answer it needs. Before: the new test of the split failed (the lone proxy wrote the change).

--- a/src/heatherpier/_line_engine.py
+++ b/src/heatherpier/_line_engine.py
@@ -207,6 +207,7 @@
         liveness = MemberLiveness(
             self._place.me.name,
             network=ports.network,
+            links=self._links,
             store=ports.store,
             view=self.view,
             timers=timers,
--- a/src/heatherpier/leases/_fence.py
+++ b/src/heatherpier/leases/_fence.py
@@ -40,6 +40,7 @@
         expected: Version of the leadership row on which this was decided.
         record: The primary that is replaced, if it is known.
         takeover: Whether another holder may still be at work on it.
+        surveyed: Whether the panel was asked, and agrees.
     """
 
     service: str
@@ -49,6 +50,7 @@
     expected: int
     record: InstanceRecord | None
     takeover: bool = False
+    surveyed: bool = False
 
 
 class Fence:
--- a/src/heatherpier/leases/_liveness.py
+++ b/src/heatherpier/leases/_liveness.py
@@ -1,11 +1,9 @@
 """Removes members that are gone, so that no change of primary waits for them."""
 
-import asyncio
-
 from heatherpier.feeds import RowStore, StoreError
-from heatherpier.fleet import Message, Peer, PeerNetwork, PeerUnreachableError
-from heatherpier.leases._grants import release_quorum
-from heatherpier.leases._messages import Ping, Pong
+from heatherpier.fleet import Peer, PeerNetwork, PeerUnreachableError
+from heatherpier.leases._messages import Ping
+from heatherpier.leases._peers import PeerLinks
 from heatherpier.leases._view import FLEET_TABLE, MEMBER_PREFIX, FleetView
 from heatherpier.telemetry import get_logger
 from heatherpier.timers import Timers
@@ -27,6 +25,7 @@
     Args:
         me: Name of this proxy.
         network: Requests and answers between proxies.
+        links: Asks peers.
         store: The store.
         view: Members and leaders.
         timers: Timer service.
@@ -37,17 +36,18 @@
         me: str,
         *,
         network: PeerNetwork,
+        links: PeerLinks,
         store: RowStore,
         view: FleetView,
         timers: Timers,
     ) -> None:
         self._me = me
         self._network = network
+        self._links = links
         self._store = store
         self._view = view
         self._timers = timers
         self._misses: dict[str, int] = {}
-        network.handle(Ping, self._on_ping)
 
     async def run(self) -> None:
         """Watches until cancelled."""
@@ -89,7 +89,7 @@
         if record is None:
             return
         self._misses[name] = 0
-        if not await self._reaches_half():
+        if not await self._links.reaches_half():
             log.info("member not removed", member=name, reason="too few answer")
             return
         try:
@@ -98,22 +98,3 @@
             )
         except StoreError as exc:
             log.info("member not removed", member=name, reason=str(exc))
-
-    async def _reaches_half(self) -> bool:
-        """Tells whether half of the panel answers; else this proxy may be cut off."""
-        panel = self._view.panel()
-        others = [self._view.members[name].peer for name in panel - {self._me}]
-        answers = await asyncio.gather(*(self._answers(peer) for peer in others))
-        here = int(self._me in panel)
-        return sum(answers) + here >= release_quorum(len(panel))
-
-    async def _answers(self, peer: Peer) -> bool:
-        try:
-            await self._network.request(peer, Ping(), timeout_s=TIMEOUT_S)
-        except PeerUnreachableError:
-            # That is the answer.
-            return False
-        return True
-
-    async def _on_ping(self, sender: str, req: Ping) -> Message | None:
-        return Pong()
--- a/src/heatherpier/leases/_peers.py
+++ b/src/heatherpier/leases/_peers.py
@@ -7,7 +7,7 @@
 from heatherpier.discovery import InstanceRegistry
 from heatherpier.feeds import Changes, Row, TableCopy
 from heatherpier.fleet import Message, Peer, PeerNetwork, PeerUnreachableError
-from heatherpier.leases._grants import GRANT_S, Grants
+from heatherpier.leases._grants import GRANT_S, Grants, release_quorum
 from heatherpier.leases._interface import (
     ControlError,
     InstanceControl,
@@ -16,6 +16,8 @@
 from heatherpier.leases._messages import (
     CopyAnswer,
     CopyRequest,
+    Ping,
+    Pong,
     ReachAnswer,
     ReachRequest,
     Released,
@@ -103,6 +105,7 @@
         for copy in copies.values():
             copy.subscribe(self._note_news)
         self._probes: dict[str, asyncio.Task[bool]] = {}
+        network.handle(Ping, self._on_ping)
         network.handle(ReleaseRequest, self._on_release)
         network.handle(ReachRequest, self._on_reach)
         network.handle(CopyRequest, self._on_copy)
@@ -116,6 +119,33 @@
         names = self._view.panel()
         return [peer for peer in self.others() if peer.name in names]
 
+    async def reaches_half(self) -> bool:
+        """Tells whether half of the panel answers; else this proxy may be cut off."""
+        panel = self._view.panel()
+        missing = release_quorum(len(panel)) - int(self.me in panel)
+        asking = {asyncio.create_task(self._answers(peer)) for peer in self.panel()}
+        try:
+            while asking and missing > 0:
+                done, asking = await asyncio.wait(
+                    asking, return_when=asyncio.FIRST_COMPLETED
+                )
+                missing -= sum(task.result() for task in done)
+        finally:
+            for task in asking:
+                task.cancel()
+        return missing <= 0
+
+    async def _answers(self, peer: Peer) -> bool:
+        try:
+            await self._network.request(peer, Ping(), timeout_s=REQUEST_TIMEOUT_S)
+        except PeerUnreachableError:
+            # That is the answer.
+            return False
+        return True
+
+    async def _on_ping(self, sender: str, req: Ping) -> Message | None:
+        return Pong()
+
     # Releasing a primary
 
     async def release_here(self, service: str, *, drain_s: float) -> None:
--- a/src/heatherpier/leases/_watcher.py
+++ b/src/heatherpier/leases/_watcher.py
@@ -35,7 +35,7 @@
 # A primary that is well answers a probe within this time, over the longest way between
 # regions; then peers need not be asked.
 SURVEY_AFTER_S = 0.1
-# A proxy that reaches less than half of the others waits this long before it has a
+# A proxy that reaches less than half of the panel waits this long before it has a
 # primary replaced: it is more likely cut off itself, for some seconds.
 MINORITY_S = 6.0
 # Pause after a probe that found the primary well.
@@ -100,6 +100,7 @@
         self._leader: str | None = None
         self._known: InstanceRecord | None = None
         self._seen: tuple[int, float] = (-1, 0.0)
+        self._alone_since: float | None = None
 
     async def run(self) -> None:
         """Watches until cancelled."""
@@ -109,10 +110,28 @@
                 await self._timers.sleep(OFF_PANEL_PERIOD_S)
                 continue
             order = await self._judge()
-            if order is not None:
+            if order is None:
+                self._alone_since = None
+            if order is not None and not await self._puts_off(order):
                 await self._replace(order)
             await self._timers.sleep(PERIOD_S)
 
+    async def _puts_off(self, order: ChangeOrder) -> bool:
+        """Tells whether this proxy may be cut off, and others see to the change."""
+        if order.surveyed or await self._links.reaches_half():
+            self._alone_since = None
+            return False
+        now = self._timers.now()
+        if self._alone_since is None:
+            self._alone_since = now
+            log.info(
+                "change put off, too few answer",
+                service=order.service,
+                reason=order.reason,
+                version=order.expected,
+            )
+        return now - self._alone_since < MINORITY_S
+
     async def _replace(self, order: ChangeOrder) -> None:
         await self._timers.sleep(self._rng.random() * SPREAD_S)
         if self._version() != order.expected:
@@ -162,6 +181,7 @@
         expected = 0 if record is None else record.version
         known = self._registry.get(leader)
         self._known = known or self._known
+        surveyed = False
         if known is None:
             # After a start, or an outage of the store, entries come back late.
             if self._instances_known_s() < LAPSE_GRACE_S:
@@ -170,7 +190,7 @@
         elif known.instance.leaving and self._has_successor(known):
             planned, reason = True, "it leaves"
         elif await self._is_lost(known):
-            planned, reason = False, "it does not answer"
+            planned, reason, surveyed = False, "it does not answer", True
         else:
             return None
         return ChangeOrder(
@@ -180,6 +200,7 @@
             reason=reason,
             expected=expected,
             record=self._known,
+            surveyed=surveyed,
         )
 
     async def _judge_change(
--- a/src/heatherpier/leases/tests/test_change_of_primary.py
+++ b/src/heatherpier/leases/tests/test_change_of_primary.py
@@ -7,6 +7,7 @@
 import pytest
 
 from heatherpier.bench import ask
+from heatherpier.discovery import LAPSE_GRACE_S
 from heatherpier.leases import (
     LEASE_S,
     Changing,
@@ -17,6 +18,7 @@
 from heatherpier.leases._fence import Fence
 from heatherpier.leases._grants import GRANT_S, GRANTING_VIEW_S
 from heatherpier.leases._watcher import (
+    MINORITY_S,
     PROBE_TIMEOUT_S,
     SPREAD_S,
     SURVEY_AFTER_S,
@@ -334,3 +336,36 @@
     lost, began, _ = await lose_under_load(world, group, timers)
     noticed_s = SILENCE_S + SUSPECT_S + SURVEY_AFTER_S + PROBE_TIMEOUT_S
     assert began - lost < noticed_s + SPREAD_S + WAYS_S
+
+
+async def test_a_proxy_alone_with_the_store_does_not_replace_a_missing_primary(
+    world, group, timers
+):
+    # A split: the store and one proxy here; the primary, whose entry lapses, and the
+    # other proxies there. Those serve on by each other's support.
+    await touch(world)
+    others = {"proxy-0", "proxy-2", "proxy-3"}
+    world.store.faults.silent |= others
+    world.fleet.stop("proxy-1")
+    group.instances["claims-0"].cut_from.add("proxy-1")
+    await timers.sleep(1.0)
+    world.unregister(group.instances["claims-0"])
+    await timers.sleep(LAPSE_GRACE_S + 1.0)
+    assert world.store.row("fleet", "leader/claims") is None
+    for name in others:
+        session = world.open("claims-exact", proxy=name)
+        assert isinstance((await ask(session, "WRITE claim")).outcome, Done)
+    world.store.faults.silent.clear()
+    world.fleet.start("proxy-1")
+    world.register(group.instances["claims-0"])
+    await timers.sleep(LAPSE_GRACE_S)
+    assert group.promotions == []
+
+
+async def test_the_last_of_all_proxies_replaces_a_missing_primary(world, group, timers):
+    await touch(world)
+    for name in ("proxy-1", "proxy-2", "proxy-3"):
+        await world.power_off(name)
+    world.unregister(group.instances["claims-0"])
+    await timers.sleep(LAPSE_GRACE_S + MINORITY_S + SETTLED_S + CHANGE_S)
+    assert group.primary().name != "claims-0"
