Close the right link after a late timeout, and end unused sessions at a stop

A request that timed out on an earlier link to a peer took the present link out of the table and closed the earlier one again, so that a socket stayed open; the end of the process waits for all sockets, and blocks the loop meanwhile. Two sessions that had sent no statement also held the stop up to its last part. Ruled out: the store's refusals (nothing in a stop waits for it) and the admin server. Change: a late timeout closes its own link only; sockets are all closed at the end; callers that came before the refusals and asked nothing are closed at 0.7 of the grace time; what is left is cut at 0.9 of it, not 0.95. One line tells when sessions ended. Before: the test of the links left one socket open, the test of the stop had sessions cut.

--- a/src/heatherpier/_line_proxy.py
+++ b/src/heatherpier/_line_proxy.py
@@ -46,7 +46,10 @@
 TRANSACTION_PART = 0.5
 # Statements that come later may not end before the kill, so they are refused.
 REFUSE_PART = 0.55
-CLOSE_PART = 0.95
+# A caller that came before the refusals has sent its first statement by now, if any.
+UNUSED_PART = 0.7
+# What is left is cut, so that the process itself ends before the kill.
+CLOSE_PART = 0.9
 STOP_POLL_S = 0.05
 EXIT_OK = 0
 
@@ -200,10 +203,14 @@
         await self._sleep_until(began + grace_s * REFUSE_PART)
         listener.refuse_new()
         while listener.sessions:
-            if self._timers.now() >= began + grace_s * CLOSE_PART:
+            passed_s = self._timers.now() - began
+            if passed_s >= grace_s * UNUSED_PART:
+                listener.close_unused()
+            if passed_s >= grace_s * CLOSE_PART:
                 log.warning("sessions cut", sessions=listener.sessions)
-                break
+                return
             await self._timers.sleep(STOP_POLL_S)
+        log.info("sessions ended", took_s=round(self._timers.now() - began, 3))
 
     async def _sleep_until(self, moment: float) -> None:
         await self._timers.sleep(max(moment - self._timers.now(), 0))
--- a/src/heatherpier/fleet/_zmq.py
+++ b/src/heatherpier/fleet/_zmq.py
@@ -106,7 +106,8 @@
         self._server.close()
         if self._auth is not None:
             self._auth.stop()
-        self._context.term()
+        # Waits for open sockets, and nothing may keep the process from its end.
+        self._context.destroy(linger=0)
 
     def callback(self, domain: str, key: bytes) -> bool:
         """Tells the authenticator whether a caller's public key is allowed."""
@@ -162,8 +163,11 @@
 
     def _count_timeout(self, peer: Peer, link: "_Link") -> None:
         link.timeouts += 1
+        address = (peer.host, peer.port)
+        # A late request of an earlier link says nothing of the present one.
         if link.timeouts >= TIMEOUTS_BEFORE_RECONNECT:
-            self._links.pop((peer.host, peer.port), None)
+            if self._links.get(address) is link:
+                del self._links[address]
             link.close()
 
     def _link(self, peer: Peer) -> "_Link":
--- a/src/heatherpier/fleet/tests/test_zmq.py
+++ b/src/heatherpier/fleet/tests/test_zmq.py
@@ -81,3 +81,26 @@
     async with make("proxy-1", timers, keys=keys) as client:
         with pytest.raises(PeerUnreachableError):
             await client.request(nobody, PING, timeout_s=0.3)
+
+
+async def test_late_timeouts_of_an_old_link_leave_no_socket_open(timers):
+    # Requests of two links to one silent peer overlap; ending waits for all sockets.
+    made = []
+    silent = Peer(name="gone", host="127.0.0.1", port=1, data_centre="north-a")
+    async with make("proxy-1", timers, keys=new_keys()) as client:
+        connect = client._connect
+        client._connect = lambda peer: made.append(connect(peer)) or made[-1]
+
+        async def ask(after_s, timeout_s):
+            await asyncio.sleep(after_s)
+            with pytest.raises(PeerUnreachableError):
+                await client.request(silent, PING, timeout_s=timeout_s)
+
+        await asyncio.gather(
+            ask(0.0, 0.1), ask(0.0, 0.1), ask(0.0, 0.3), ask(0.2, 1.0), ask(0.4, 0.1)
+        )
+        kept = {link.socket for link in client._links.values()}
+        lost = {socket for socket in made if not socket.closed} - kept
+        for socket in lost:
+            socket.close(linger=0)
+    assert lost == set()
--- a/src/heatherpier/platform/_clients.py
+++ b/src/heatherpier/platform/_clients.py
@@ -108,6 +108,11 @@
         for session in list(self._sessions):
             session.refuse_new()
 
+    def close_unused(self) -> None:
+        """Ends sessions whose callers have sent no statement since they came."""
+        for session in list(self._sessions):
+            session.close_unused()
+
     def end_transactions(self) -> None:
         """Rolls back the transactions that are open; their callers are told."""
         for session in list(self._sessions):
@@ -258,6 +263,13 @@
         if session is not None and self._waiting and self._may_close(session):
             self._channel.close()
 
+    def close_unused(self) -> None:
+        """Has the session end if it waits for its first statement."""
+        if self._session is None or self._served:
+            return
+        if self._waiting and not self._channel.has_unread():
+            self._channel.close()
+
     def refuse_new(self) -> None:
         """Has statements outside of a transaction refused from now on."""
         self._refusing = True
--- a/src/heatherpier/platform/tests/test_whole_proxy.py
+++ b/src/heatherpier/platform/tests/test_whole_proxy.py
@@ -222,6 +222,17 @@
     assert b"settings not reloaded" in out
 
 
+async def test_a_stop_does_not_wait_for_callers_that_ask_nothing(deployment, proxy):
+    front = deployment[0]
+    streams = await asyncio.open_connection(HOST, front)
+    assert await exchange(streams, "START db1 u1\r\n", 1) == ["READY I -\r\n"]
+    proxy.send_signal(signal.SIGTERM)
+    out, _ = await asyncio.wait_for(proxy.communicate(), READY_S)
+    assert proxy.returncode == 0
+    messages = [json.loads(line)["message"] for line in out.splitlines()]
+    assert "sessions cut" not in messages
+
+
 def test_logs_never_wait_for_their_reader():
     reader, writer = os.pipe()
     output = BoundedOutput(writer, most_bytes=100_000)
