Name seeds to proxies, and do not count an ended process as one that released

Named seeds bring a fault into reach that was in the fence before: a peer whose process had ended counted as one that released. Ruled out: forbidding a new life to support anybody (then half a fleet that restarts in an outage serves nothing, which is what the seeds are for). Change: the role serves control (nobody calls it; the proxies ask each other on their own port). Only answers to a release count for the quorum; ended members end the wait for all only with a quorum. A next life relies on a view from before its start only with the support of peers, and holds releases for as long as its earlier life may have promised. The in-memory deployment can start proxies with seeds. What a restart of all in an outage costs is the store's return plus the retries.

--- a/src/heatherpier/bench/_line_world.py
+++ b/src/heatherpier/bench/_line_world.py
@@ -169,20 +169,28 @@
 
     # Proxies
 
-    async def start(self, name: str) -> LineEngine:
-        """Starts a proxy."""
-        me = Peer(
+    def _peer(self, name: str) -> Peer:
+        return Peer(
             name=name,
             host=name,
             port=7000,
             data_centre=ZONES[self.names.index(name) % len(ZONES)],
         )
+
+    async def start(self, name: str, *, seeds: tuple[str, ...] = ()) -> LineEngine:
+        """Starts a proxy.
+
+        Args:
+            name: Its name.
+            seeds: Names of proxies that it may ask for tables.
+        """
+        me = self._peer(name)
         self.fleet.ended.discard((me.host, me.port))
         control = LineGroupControl(name, groups=self.groups, timers=self.timers)
         engine = LineEngine(
             Place(
                 me=me,
-                seeds=(),
+                seeds=tuple(self._peer(seed) for seed in seeds),
                 distance=lambda zone: 0 if zone == me.data_centre else 2,
             ),
             ports=Ports(
--- a/src/heatherpier/leases/_fence.py
+++ b/src/heatherpier/leases/_fence.py
@@ -8,7 +8,7 @@
 from heatherpier.fleet import Peer
 from heatherpier.leases._grants import GRANT_S, GRANTING_VIEW_S, release_quorum
 from heatherpier.leases._interface import ControlError, InstanceControl
-from heatherpier.leases._peers import PeerLinks
+from heatherpier.leases._peers import PeerLinks, Use
 from heatherpier.leases._records import LeadershipRecord
 from heatherpier.leases._rights import LEASE_S
 from heatherpier.leases._view import FleetView
@@ -86,7 +86,7 @@
     async def close(self, *, term: int, began: float) -> None:
         """Returns when nobody relies on the old primary any more.
 
-        That is when all members have released it, when it says that it no longer
+        That is when all members have released it or have ended, when it says that it no longer
         leads, or when all rights to use it have lapsed.
 
         Args:
@@ -133,10 +133,16 @@
 
     async def _release_at(self, peer: Peer, drain_s: float) -> None:
         service = self._order.service
-        await self._repeat(
-            lambda: self._links.release_at(peer, service, self._record, drain_s=drain_s)
-        )
-        self._released.add(peer.name)
+        while True:
+            use = await self._links.release_at(
+                peer, service, self._record, drain_s=drain_s
+            )
+            if use is Use.RELEASED:
+                self._released.add(peer.name)
+                return
+            if use is Use.ENDED and self._enough_released():
+                return
+            await self._timers.sleep(RETRY_S)
 
     # Demotion
 
--- a/src/heatherpier/leases/_grants.py
+++ b/src/heatherpier/leases/_grants.py
@@ -43,7 +43,8 @@
         self._view = view
         self._timers = timers
         self._received: dict[str, float] = {}
-        self._given_until = 0.0
+        # An earlier life of this process may have promised something up to its end.
+        self._given_until = timers.elapsed() + GRANT_S
 
     def give(self) -> float:
         """Promises a peer not to release primaries yet.
--- a/src/heatherpier/leases/_peers.py
+++ b/src/heatherpier/leases/_peers.py
@@ -1,6 +1,7 @@
 """What proxies ask each other about views, rights and instances."""
 
 import asyncio
+import enum
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -58,6 +59,16 @@
     failing: int
 
 
+class Use(enum.Enum):
+    """What a peer may still do with a primary that it was asked to release."""
+
+    RELEASED = enum.auto()
+    # The process has ended. It uses nothing, but its next life may support others
+    # that have not heard of the change.
+    ENDED = enum.auto()
+    UNKNOWN = enum.auto()
+
+
 class PeerLinks:
     """Asks peers, and answers them.
 
@@ -161,8 +172,8 @@
 
     async def release_at(
         self, peer: Peer, service: str, record: LeadershipRecord, *, drain_s: float
-    ) -> bool:
-        """Asks a peer to end its use of a primary, and tells whether it has."""
+    ) -> Use:
+        """Asks a peer to end its use of a primary, and tells what is left of it."""
         req = ReleaseRequest(
             service=service,
             version=record.version,
@@ -174,8 +185,6 @@
                 peer, req, timeout_s=drain_s + GRANT_S + RELEASE_MARGIN_S
             )
         except PeerUnreachableError as exc:
-            # A process that has ended uses nothing, and its next life begins with
-            # a view that shows the change.
             ended = await self._network.refuses(peer, timeout_s=REQUEST_TIMEOUT_S)
             log.info(
                 "peer did not release",
@@ -184,11 +193,11 @@
                 ended=ended,
                 reason=str(exc),
             )
-            return ended
+            return Use.ENDED if ended else Use.UNKNOWN
         if not isinstance(answer, Released):
-            return False
+            return Use.UNKNOWN
         self._view.history.learn(answer.past)
-        return True
+        return Use.RELEASED
 
     async def has_ended(self, name: str) -> bool:
         """Tells whether a member's VM says that its process has ended."""
--- a/src/heatherpier/leases/_rights.py
+++ b/src/heatherpier/leases/_rights.py
@@ -84,6 +84,7 @@
         self._view = view
         self._registry = registry
         self._timers = timers
+        self._began = timers.elapsed()
         self._registered = 0
         self._changed: dict[str, asyncio.Event] = {}
         self._closing: dict[str, _Closing] = {}
@@ -111,11 +112,16 @@
         return self._judge(service, self._view.leaders.get(service))
 
     def _lapses_at(self) -> float:
-        """Returns when all rights lapse, by `Timers.elapsed`, unless renewed."""
-        now = self._timers.elapsed()
-        return max(
-            now - self._view.copy.age_s() + LEASE_S, self._grants.supported_until()
-        )
+        """Returns when all rights lapse, by `Timers.elapsed`, unless renewed.
+
+        A change of primary does not wait for a process that has ended, so its next
+        life relies on no view from before its start, unless peers support it.
+        """
+        as_of = self._timers.elapsed() - self._view.copy.age_s()
+        supported = self._grants.supported_until()
+        if as_of < self._began:
+            return supported
+        return max(as_of + LEASE_S, supported)
 
     def _judge(self, service: str, record: LeadershipRecord | None) -> Right | NoRight:
         if record is None:
--- a/src/heatherpier/platform/tests/test_records.py
+++ b/src/heatherpier/platform/tests/test_records.py
@@ -1,4 +1,6 @@
 import json
+import tomllib
+from pathlib import Path
 
 import pytest
 
@@ -169,3 +171,10 @@
 def test_missing_settings_are_refused(tmp_path):
     with pytest.raises(MalformedRecordError, match="absent.yaml"):
         load_vm_settings(tmp_path / "absent.yaml")
+
+
+def test_the_deploy_file_has_the_platform_name_seeds():
+    # The platform names other VMs only to a role that serves its control address.
+    deploy = Path(__file__).parents[4] / "deploy" / "system.toml"
+    role = tomllib.loads(deploy.read_text())["roles"]["proxy"]
+    assert set(role["serves"]) == {"front", "control"}
