Refuse statements that no instance could be offered before half of their time

Ruled out: waiting without a bound (their callers can ask another proxy meanwhile). Change: hopeless reads are refused before the pause that would pass a quarter of the objective. What no instance could be offered is held for 0.45 of its time; in a planned change, which is short, to the end as before. Callers of a lost primary are told 1.5 s. Before: five of the six new tests failed at first, two of them wrong in themselves (a promotion longer than the statement's time, one shorter than the test); the other three by 0.14 s and 0.75 s for limits of 0.1 s and 0.4 s. After: all pass.

--- a/src/heatherpier/leases/_rights.py
+++ b/src/heatherpier/leases/_rights.py
@@ -40,10 +40,12 @@
     Attributes:
         reason: Why.
         changing: Whether a change of primary is under way.
+        planned: Whether that is a planned one, which takes well under a second.
     """
 
     reason: str
     changing: bool
+    planned: bool = False
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -132,6 +134,7 @@
                 reason=f"{state.holder} replaces {state.previous}, "
                 f"version {record.version}",
                 changing=True,
+                planned=state.planned,
             )
         return Right(service=service, instance=state.instance, version=record.version)
 
--- a/src/heatherpier/serving/_runner.py
+++ b/src/heatherpier/serving/_runner.py
@@ -30,6 +30,9 @@
 # primary and no change is under way that would bring one.
 HOLD_SHARE = 0.25
 RETRY_AFTER_MS = 500
+# A lost primary is replaced within 1.5 s to 3 s of its loss; a caller that comes back
+# sooner is refused again, and many have only two more tries.
+LOST_RETRY_MS = 1500
 
 
 def failed(
@@ -98,20 +101,28 @@
                 if record is not None:
                     return Target(record=record, right=right, floor=None)
                 wait, reason = False, f"{right.instance} is not registered"
-            until = work.deadline - LEAST_RUN_S
-            if not wait:
-                until = min(until, began + work.route.objective_s * HOLD_SHARE)
+            until = self._held_until(work, right, began=began, wait=wait)
             now = core.timers.now()
             if now >= until:
                 return Failed(
                     code=Code.OVERLOADED,
                     reason=f"no primary: {reason}",
-                    retry_after_ms=RETRY_AFTER_MS,
+                    retry_after_ms=LOST_RETRY_MS if wait else RETRY_AFTER_MS,
                 )
             await core.rights.wait_for_change(
                 service, until=min(until, now + ROUND_PAUSE_S)
             )
 
+    def _held_until(
+        self, work: Work, right: Right | NoRight, *, began: float, wait: bool
+    ) -> float:
+        """Returns until when a statement waits for a primary."""
+        if not wait:
+            return min(work.deadline, began + work.route.objective_s * HOLD_SHARE)
+        if isinstance(right, NoRight) and right.planned:
+            return work.deadline - LEAST_RUN_S
+        return work.untried_until()
+
     def _judge(self, right: Right | NoRight) -> tuple[bool | None, str]:
         """Returns whether to wait long for a primary, or None if there is one."""
         if isinstance(right, NoRight):
@@ -175,18 +186,28 @@
             for item in order
         ]
 
-    def gives_up(self, work: Work, *, began: float) -> bool:
+    def gives_up(self, work: Work, *, began: float, pause_s: float) -> bool:
         """Tells whether to refuse a read that no instance could be offered.
 
         Args:
             work: The read.
             began: Monotonic time in seconds when its first round began.
+            pause_s: Time in seconds until its next round.
         """
         right = self._core.rights.right(work.route.service)
-        if isinstance(right, NoRight) and right.changing:
-            return False
-        held_s = self._core.timers.now() - began
-        return held_s >= work.route.objective_s * HOLD_SHARE
+        changing = isinstance(right, NoRight) and right.changing
+        until = self._held_until(work, right, began=began, wait=changing)
+        return self._core.timers.now() + pause_s > until
+
+    def _refuse_unproved(self, work: Work) -> Reply:
+        """Returns the answer to a read that no instance can prove fresh."""
+        right = self._core.rights.right(work.route.service)
+        changing = isinstance(right, NoRight) and right.changing
+        return failed(
+            Code.OVERLOADED,
+            nothing_offered([]).reason,
+            retry_after_ms=LOST_RETRY_MS if changing else RETRY_AFTER_MS,
+        )
 
     def may_offer(self, target: Target) -> bool:
         """Tells whether a read that a replica could serve may go to a target."""
@@ -210,8 +231,8 @@
             if answer is not None:
                 return answer
             log_retry(work, tried, result)
-            if tried is None and self.gives_up(work, began=began):
-                return refuse(nothing_offered([]))
+            if tried is None and self.gives_up(work, began=began, pause_s=pause_s):
+                return self._refuse_unproved(work)
             await self._core.timers.sleep(pause_s)
             pause_s = min(pause_s * 2, LONGEST_PAUSE_S)
 
--- a/src/heatherpier/serving/_transaction.py
+++ b/src/heatherpier/serving/_transaction.py
@@ -104,7 +104,9 @@
                     return answer
                 log_retry(work, target, result)
             late = self._core.timers.now() + LEAST_RUN_S >= work.deadline
-            hopeless = not targets and self._runner.gives_up(work, began=began)
+            hopeless = not targets and self._runner.gives_up(
+                work, began=began, pause_s=ROUND_PAUSE_S
+            )
             overloaded = isinstance(result, NotSent) and result.overloaded
             if late or hopeless or overloaded:
                 return self._end(_refusal(result))
--- a/src/heatherpier/serving/_tries.py
+++ b/src/heatherpier/serving/_tries.py
@@ -141,7 +141,7 @@
         """
         latest = until - LEAST_RUN_S
         if not pool.open_connections:
-            return latest
+            return min(latest, work.untried_until())
         return min(latest, work.queue_until(self._core.timers.now()))
 
     async def run(self, target: Target, work: Work, *, until: float) -> TryResult:
--- a/src/heatherpier/serving/_work.py
+++ b/src/heatherpier/serving/_work.py
@@ -9,6 +9,9 @@
 # Part of the latency objective for which a statement queues for a connection. Who has
 # not had its turn by then is better off with a refusal and another try elsewhere.
 QUEUE_SHARE = 0.5
+# Part of its time for which a statement is held that no instance was offered yet. Its
+# caller has most of the time left for another proxy.
+UNTRIED_SHARE = 0.45
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -44,6 +47,14 @@
         """
         return min(self.deadline, now + self.route.objective_s * QUEUE_SHARE)
 
+    def untried_until(self) -> float:
+        """Returns until when it is held while no instance could be offered it.
+
+        Returns:
+            Monotonic time in seconds.
+        """
+        return self.deadline - self.route.statement_timeout_s * (1 - UNTRIED_SHARE)
+
     def with_floor(self, floor: LogPosition | None) -> Forward | ForwardExecute:
         """Returns the call for an instance whose log must hold ``floor``."""
         return self.call if floor is None else replace(self.call, floor=floor)
--- /dev/null
+++ b/src/heatherpier/serving/tests/test_refusals.py
@@ -0,0 +1,107 @@
+"""Load: many callers come while nothing can serve them; each is told early."""
+
+import asyncio
+import dataclasses
+
+import pytest
+
+from heatherpier.bench import ask
+from heatherpier.bench._line_world import OBJECTIVE_S, STATEMENT_TIMEOUT_S
+from heatherpier.leases import LEASE_S, NoRight
+from heatherpier.statements import Code, Done
+
+# What has no chance is held for at most this long, and what has one, but was offered
+# to nobody, for less than half of its time: the caller may try another proxy.
+HOPELESS_S = OBJECTIVE_S / 4
+UNTRIED_S = STATEMENT_TIMEOUT_S / 2
+CALLERS = 20
+
+
+@pytest.fixture
+def group(world):
+    return world.groups["claims"]
+
+
+async def ask_many(world, timers, database, text):
+    """Has many callers ask at once; returns their answers and the longest wait."""
+    began = timers.now()
+    sessions = [world.open(database) for _ in range(CALLERS)]
+    replies = await asyncio.gather(*(ask(item, text) for item in sessions))
+    return replies, timers.now() - began
+
+
+def assert_refused(replies):
+    for reply in replies:
+        assert reply.outcome.code is Code.OVERLOADED
+        assert reply.outcome.retry_after_ms
+
+
+async def begin_change(world, timers):
+    while True:
+        right = world.engines["proxy-0"].core.rights.right("claims")
+        if isinstance(right, NoRight) and right.changing:
+            return
+        await ask(world.open("claims-exact", proxy="proxy-1"), "WRITE claim")
+        await timers.sleep(0.01)
+
+
+@pytest.mark.parametrize("database", ["claims-aged", "claims-own"])
+async def test_reads_that_nobody_can_prove_fresh_are_refused_early(
+    world, timers, database
+):
+    world.isolate("proxy-0")
+    await timers.sleep(2 * LEASE_S)
+    replies, waited_s = await ask_many(world, timers, database, "READ claim")
+    assert_refused(replies)
+    assert waited_s <= HOPELESS_S
+
+
+async def test_writes_are_not_held_to_their_end_while_a_lost_primary_is_replaced(
+    world, group, timers
+):
+    group.promote_s = 3.0
+    group.instances["claims-0"].running = False
+    await begin_change(world, timers)
+    replies, waited_s = await ask_many(world, timers, "claims-exact", "WRITE claim")
+    assert_refused(replies)
+    assert waited_s < UNTRIED_S
+
+
+async def test_reads_are_not_held_to_their_end_while_a_lost_primary_is_replaced(
+    world, group, timers
+):
+    group.promote_s = 9.0
+    for instance in group.instances.values():
+        instance.lag_s = 30.0
+    group.instances["claims-0"].running = False
+    await begin_change(world, timers)
+    await timers.sleep(2.0)
+    replies, waited_s = await ask_many(world, timers, "claims-aged", "READ claim")
+    assert_refused(replies)
+    assert waited_s < UNTRIED_S
+
+
+async def test_writes_wait_for_the_end_of_a_planned_change(world, group, timers):
+    group.promote_s = UNTRIED_S
+    leaving = group.instances["claims-0"]
+    leaving.record = dataclasses.replace(
+        leaving.record,
+        instance=dataclasses.replace(leaving.record.instance, leaving=True),
+    )
+    world.register(leaving)
+    await begin_change(world, timers)
+    replies, _ = await ask_many(world, timers, "claims-exact", "WRITE claim")
+    assert all(isinstance(reply.outcome, Done) for reply in replies)
+
+
+async def test_statements_are_not_held_to_their_end_for_a_full_instance(
+    world, group, timers
+):
+    # The connections of proxies that lost power still count there.
+    group.instances["claims-0"].full = True
+    for pool in world.engines["proxy-0"].core.pools.all():
+        for conn in pool._idle:
+            conn._link.abort()
+    replies, waited_s = await ask_many(world, timers, "claims-exact", "WRITE claim")
+    assert_refused(replies)
+    assert waited_s < UNTRIED_S
