Do not call a read not run after an instance may have run it

Change: a read that was lost, or still runs somewhere, ends as timed out, with when to come back, instead of with a code that means not run. Before: both cases of the new test failed. After: pass, with the tests of serving.

--- a/src/heatherpier/serving/_runner.py
+++ b/src/heatherpier/serving/_runner.py
@@ -216,6 +216,19 @@
         return self._core.budget_of(target.name).take()
 
     async def _read(self, work: Work) -> Reply:
+        # Names of the instances that may have run the read without an answer.
+        doubts: list[str] = []
+        reply = await self._read_in_rounds(work, doubts)
+        outcome = reply.outcome
+        if not (doubts and isinstance(outcome, Failed) and outcome.not_run):
+            return reply
+        return failed(
+            Code.TIMEOUT,
+            f"{doubts[0]} did not answer; then: {outcome.reason}",
+            retry_after_ms=outcome.retry_after_ms or RETRY_AFTER_MS,
+        )
+
+    async def _read_in_rounds(self, work: Work, doubts: list[str]) -> Reply:
         began = self._core.timers.now()
         pause_s = ROUND_PAUSE_S
         while True:
@@ -225,8 +238,10 @@
                     return Reply(outcome=target, state=SessionState.IDLE)
                 tried: Target | None = target
                 result = await self.tries.run(target, work, until=work.deadline)
+                if isinstance(result, Lost):
+                    doubts.append(target.name)
             else:
-                tried, result = await self._read_round(work)
+                tried, result = await self._read_round(work, doubts)
             answer = self._judge_read(work, result)
             if answer is not None:
                 return answer
@@ -248,11 +263,17 @@
             case NotSent():
                 return refuse(result) if late or result.overloaded else None
 
-    async def _read_round(self, work: Work) -> tuple[Target | None, TryResult]:
+    async def _read_round(
+        self, work: Work, doubts: list[str]
+    ) -> tuple[Target | None, TryResult]:
         """Offers a read to one instance after the other until one serves it.
 
         An instance that keeps silent is not given up: the next one is asked beside
         it, and the first good answer counts.
+
+        Args:
+            work: The read.
+            doubts: Gets the names of instances that have not answered.
         """
         offered = self.targets(work)
         targets = iter(offered)
@@ -267,6 +288,8 @@
                 for task in done:
                     target = running.pop(task)
                     result = task.result()
+                    if isinstance(result, Lost):
+                        doubts.append(target.name)
                     last = target, result
                     if isinstance(result, Reply) and _is_final(result):
                         self._note_room(target)
@@ -276,7 +299,8 @@
                     return last
         finally:
             # Answers that come late still give their connections back.
-            for task in running:
+            for task, target in running.items():
+                doubts.append(target.name)
                 self._background.add(task)
                 task.add_done_callback(self._background.discard)
 
--- a/src/heatherpier/serving/tests/test_reads.py
+++ b/src/heatherpier/serving/tests/test_reads.py
@@ -1,5 +1,7 @@
 """Reads under replicas that lag, keep silent, are busy or are gone."""
 
+import asyncio
+
 import pytest
 
 from heatherpier.bench import ask
@@ -138,3 +140,21 @@
         reply = await ask(world.open(database), "READ claim")
         assert reply.outcome.code is Code.MALFORMED
         assert len(asked) == 1
+
+
+@pytest.mark.parametrize("database", ["claims-exact", "claims-own"])
+async def test_a_read_that_may_have_run_is_not_called_not_run(world, timers, database):
+    # Its answers are lost on every instance, then nobody may be asked any more.
+    group = world.groups["claims"]
+    group.promote_s = 9.0
+    session = world.open(database)
+    for instance in group.instances.values():
+        instance.lose_answers = 100
+    asking = asyncio.create_task(ask(session, "READ claim"))
+    await timers.sleep(0.05)
+    for instance in group.instances.values():
+        instance.running = False
+    reply = await asking
+    ran = [run for item in group.instances.values() for run in item.runs]
+    assert any(run.text == "READ claim" for run in ran)
+    assert not reply.outcome.not_run
