Add a fault soak of real proxies on loopback

Four real processes, with stand-ins of the platform's store, promotions and instances that speak its protocol, under load from callers. Faults are drawn by seed and overlap: processes killed, stopped by SIGTERM, paused; instances that crash, keep silent, reset or are cut from some proxies; a primary that leaves while some hear nothing of the store; the store silent or refusing for some, answers lost, effects late, history dropped. The promises are checked from what callers and instances saw: no commit of an old primary after a new one's term began, no stale read, nothing run twice, not run is true, tokens rise, all serve again, stops exit 0. Proxies' connections to each other have no fault relay, so cuts between them are only drawn by pauses; clocks are not stepped.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: venv check test demo lint binary
+.PHONY: venv check test soak demo lint binary
 
 venv: $(VENV)/.installed
 
@@ -23,6 +23,9 @@
 
 check: lint test
 
+soak: venv
+	$(BIN)/pytest -n 2 src/heatherpier/platform/tests/test_soak.py
+
 demo: venv
 	$(BIN)/heatherpier bench demo $(ARGS)
 
--- a/src/heatherpier/leases/tests/test_random_faults.py
+++ b/src/heatherpier/leases/tests/test_random_faults.py
@@ -7,13 +7,16 @@
 import asyncio
 import dataclasses
 import random
-from dataclasses import dataclass, field
 
 import pytest
 
 from heatherpier.bench import LineWorld, ask
+from heatherpier.bench._line_history import (
+    History,
+    find_old_commits,
+    find_stale_reads,
+)
 from heatherpier.bench._line_world import MAX_AGE_S
-from heatherpier.groups import LogPosition
 from heatherpier.leases._fence import Fence
 from heatherpier.serving import PrimarySamples
 from heatherpier.statements import Done
@@ -25,14 +28,6 @@
 RECOVERY_S = 25.0
 
 
-@dataclass
-class History:
-    """What callers saw: when asked, when answered, and the position."""
-
-    writes: list[tuple[float, float, LogPosition]] = field(default_factory=list)
-    reads: list[tuple[float, float, LogPosition]] = field(default_factory=list)
-
-
 async def call(world, name, database, text):
     """Runs one statement of a new session; None if its proxy is gone or refuses."""
     engine = world.engines.get(name)
@@ -224,30 +219,6 @@
         return world.groups["claims"], history, ended_at
 
 
-def find_old_commits(group, history):
-    """Acknowledged commits that an old primary made after a newer term began."""
-    return [
-        position
-        for _, _, position in history.writes
-        for term, began in group.effects.items()
-        if term > position.term and group.commits[position] > began
-    ]
-
-
-def find_stale_reads(group, history):
-    """Reads that miss a commit which was acknowledged long enough before."""
-    kept = {position for position, _ in group.primary().log}
-    acknowledged = sorted(
-        (at, position) for _, at, position in history.writes if position in kept
-    )
-    return [
-        (position, missed)
-        for fresh_at, _, position in history.reads
-        for at, missed in acknowledged
-        if at < fresh_at and missed > position
-    ]
-
-
 @pytest.mark.parametrize("seed", SEEDS)
 async def test_promises_hold_under_random_faults(timers, seed):
     group, history, ended_at = await play(timers, seed)
--- /dev/null
+++ b/src/heatherpier/platform/tests/_stand_ins.py
@@ -0,0 +1,267 @@
+"""The platform's store, promotions and instances on loopback, for real proxies."""
+
+import asyncio
+import base64
+import json
+
+from aiohttp import web
+
+from heatherpier.bench._line_group import LineGroup, LineInstance
+from heatherpier.bench._line_link import MemoryLineLink
+from heatherpier.bench._row_store import MemoryRowStore
+from heatherpier.feeds import (
+    ChangeConflictError,
+    HistoryLostError,
+    Row,
+    StoreRefusedError,
+    StoreUnavailableError,
+)
+from heatherpier.leases import NotRunningError
+from heatherpier.lending import (
+    ApplyValue,
+    AskStatus,
+    Call,
+    ClearSession,
+    Demote,
+    Forward,
+    ForwardExecute,
+    OpenTransaction,
+    PrepareShape,
+    RollBack,
+)
+from heatherpier.platform._line import (
+    ACCESSES,
+    format_failure,
+    format_ready,
+    parse_position,
+)
+from heatherpier.statements import Failed, Reply
+from heatherpier.timers import Timers
+from heatherpier.upstreams import ConnectionLostError
+
+HOST = "127.0.0.1"
+STATUSES = {
+    ChangeConflictError: 412,
+    HistoryLostError: 410,
+    StoreRefusedError: 503,
+    StoreUnavailableError: 504,
+    NotRunningError: 409,
+}
+
+
+class StoreServer:
+    """Serves one proxy's view of the store, and its promotions, by HTTP."""
+
+    def __init__(self, store: MemoryRowStore, groups: dict[str, LineGroup]) -> None:
+        self._store = store
+        self._groups = groups
+        self._runners: list[web.AppRunner] = []
+
+    async def start(self, proxy: str, *, port: int) -> None:
+        """Listens for one proxy."""
+        client = self._store.client(proxy)
+
+        async def get(req: web.Request) -> web.Response:
+            table = await client.read_table(req.query["table"])
+            return self._rows(req.query["table"], table.rows, table.version)
+
+        async def feed(req: web.Request) -> web.Response:
+            query = req.query
+            changes = await client.watch(
+                query["table"],
+                after=int(query["after"]),
+                wait_s=int(query["waitMs"]) / 1000,
+            )
+            return self._rows(query["table"], changes.rows, changes.version)
+
+        async def commit(req: web.Request) -> web.Response:
+            change = await req.json()
+            [condition] = change["precondition"]
+            where = condition["table"], condition["key"]
+            version = 0
+            for row in change["writes"]:
+                body = base64.b64decode(row["value"])
+                version = await client.put(*where, body, expected=condition["ver"])
+            for _ in change["deletes"]:
+                await client.delete(*where, expected=condition["ver"])
+            return web.json_response({"ver": version, "nowMs": self._now_ms()})
+
+        async def promote(req: web.Request) -> web.Response:
+            order = await req.json()
+            token = int(req.headers["X-Fence-Token"])
+            await self._groups[order["service"]].promote(order["id"], token=token)
+            return web.json_response({})
+
+        app = web.Application(middlewares=[_answer_errors])
+        app.router.add_get("/rows-get", get)
+        app.router.add_get("/rows-feed", feed)
+        app.router.add_post("/rows-tx", commit)
+        app.router.add_post("/promotion", promote)
+        runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
+        await runner.setup()
+        await web.TCPSite(runner, HOST, port).start()
+        self._runners.append(runner)
+
+    async def close(self) -> None:
+        """Stops listening."""
+        for runner in self._runners:
+            await runner.cleanup()
+
+    def _rows(self, table: str, rows: tuple[Row, ...], version: int) -> web.Response:
+        answer = {
+            "rows": [_encode_row(table, row) for row in rows],
+            "truncated": False,
+            "ver": version,
+            "nowMs": self._now_ms(),
+        }
+        return web.json_response(answer)
+
+    def _now_ms(self) -> float:
+        return asyncio.get_running_loop().time() * 1000
+
+
+@web.middleware
+async def _answer_errors(req, handler):
+    try:
+        return await handler(req)
+    except tuple(STATUSES) as exc:
+        return web.json_response({"rows": []}, status=STATUSES[type(exc)])
+
+
+def _encode_row(table: str, row: Row) -> dict[str, object]:
+    wire: dict[str, object] = {"table": table, "part": "", "key": row.key}
+    wire["ver"] = row.version
+    if row.body is None:
+        return wire | {"tombstone": True}
+    return wire | {"value": base64.b64encode(row.body).decode()}
+
+
+class InstanceServer:
+    """Serves one instance of a group by the line protocol."""
+
+    def __init__(
+        self, group: LineGroup, instance: LineInstance, *, timers: Timers
+    ) -> None:
+        self._group = group
+        self._instance = instance
+        self._timers = timers
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def start(self) -> int:
+        """Listens and returns the port."""
+        self._server = await asyncio.start_server(self._accept, HOST, 0)
+        return self._server.sockets[0].getsockname()[1]
+
+    def reset(self) -> None:
+        """Resets all connections."""
+        for writer in self._writers:
+            writer.transport.abort()
+
+    async def close(self) -> None:
+        """Stops listening and resets all connections."""
+        assert self._server is not None
+        self._server.close()
+        self.reset()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        task = asyncio.create_task(self._serve(reader, writer))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._writers.add(writer)
+        try:
+            await self._serve_session(reader, writer)
+        except (ConnectionLostError, ConnectionError):
+            # The proxy sees a connection that is reset.
+            pass
+        finally:
+            self._writers.discard(writer)
+            writer.transport.abort()
+
+    async def _serve_session(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        instance = self._instance
+        fields = (await reader.readline()).decode().split()
+        if len(fields) != 4 or not instance.running:
+            return
+        proxy = fields[2]
+        if instance.keeps_silent(proxy):
+            await reader.read()
+            return
+        link = MemoryLineLink(self._group, instance, proxy=proxy, timers=self._timers)
+        writer.write(b"READY I -\r\n")
+        while line := (await reader.readline()).decode().rstrip():
+            _, id_, text = line.split(" ", 2)
+            reply = await link._run(parse_call(id_, text))
+            writer.write(self._render(reply, text).encode())
+        link.abort()
+
+    def _render(self, reply: Reply, text: str) -> str:
+        end = format_ready(reply.state, reply.position) + "\r\n"
+        if isinstance(reply.outcome, Failed):
+            return format_failure(reply.outcome) + "\r\n" + end
+        rows = reply.outcome.rows
+        if text == "STATUS" or text.startswith("DEMOTE"):
+            rows = (self._status(),)
+        lines = "".join(f"ROW {row}\r\n" for row in rows)
+        return f"{lines}DONE {reply.outcome.signature or '-'}\r\n{end}"
+
+    def _status(self) -> str:
+        instance = self._instance
+        role = "primary" if instance.leads else "replica"
+        position = instance.received()
+        return f"{role} {instance.term} {position.term}.{position.index} 0 0 0 0"
+
+
+def parse_call(id_: str, text: str) -> Call:
+    """Reads one statement that a proxy sends to an instance."""
+    floor = None
+    if text.startswith("AFTER "):
+        _, position, text = text.split(" ", 2)
+        floor = parse_position(position)
+    word, _, rest = text.partition(" ")
+    match word:
+        case "BEGIN":
+            return OpenTransaction(read_only=bool(rest), floor=floor)
+        case "ROLLBACK" if id_ == "-":
+            return RollBack()
+        case "RESET":
+            return ClearSession()
+        case "STATUS":
+            return AskStatus()
+        case "DEMOTE":
+            return Demote(term=int(rest))
+        case "SET":
+            name, _, value = rest.partition(" ")
+            return ApplyValue(name=name, value=value)
+        case "PREPARE":
+            name, access, shape = rest.split(" ", 2)
+            return PrepareShape(name=name, access=ACCESSES[access], shape=shape)
+        case "EXEC":
+            name, _, arguments = rest.partition(" ")
+            return ForwardExecute(id=id_, name=name, arguments=arguments, floor=floor)
+        case _:
+            return Forward(id=id_, text=text, floor=floor)
+
+
+def instance_row(instance: LineInstance, *, service: str, port: int) -> bytes:
+    """Returns what an instance says of itself in the store."""
+    entry = {
+        "service": service,
+        "address": f"{HOST}:{port}",
+        "zone": instance.record.instance.data_centre,
+        "state": "draining" if instance.record.instance.leaving else "ready",
+        "dbRole": "primary" if instance.leads else "replica",
+    }
+    return json.dumps(entry).encode()
