Have a next life support nothing until it has seen the store's state since its start

Cause: found by thinking the fence through as a model: a member releases, ends, starts again and takes an older view from a peer that is cut off; its support counted, though its earlier life's release did too. Change: a proxy promises only on a view from after its own start. Before: the new test failed (it gave 1.2 s). After: passes, with the tests of leases. It costs the outage in which half of a fleet restarts: nobody has support then.

--- a/src/heatherpier/leases/_grants.py
+++ b/src/heatherpier/leases/_grants.py
@@ -43,8 +43,9 @@
         self._view = view
         self._timers = timers
         self._received: dict[str, float] = {}
+        self._began = timers.elapsed()
         # An earlier life of this process may have promised something up to its end.
-        self._given_until = timers.elapsed() + GRANT_S
+        self._given_until = self._began + GRANT_S
 
     def give(self) -> float:
         """Promises a peer not to release primaries yet.
@@ -58,8 +59,15 @@
         return GRANT_S
 
     def _may_support(self) -> bool:
-        on_panel = self._me in self._view.panel()
-        return on_panel and self._view.copy.age_s() < GRANTING_VIEW_S
+        """Tells whether this proxy may promise not to release a primary.
+
+        A view from before its start may miss a change for which an earlier life of
+        this process has released.
+        """
+        age_s = self._view.copy.age_s()
+        if self._timers.elapsed() - age_s < self._began or age_s >= GRANTING_VIEW_S:
+            return False
+        return self._me in self._view.panel()
 
     def given_for(self) -> float:
         """Returns for how long this proxy's promises still hold, in seconds."""
--- a/src/heatherpier/leases/tests/test_restarts.py
+++ b/src/heatherpier/leases/tests/test_restarts.py
@@ -6,7 +6,7 @@
 
 from heatherpier.bench import _line_group, ask
 from heatherpier.leases import NoRight, Right
-from heatherpier.leases._grants import GRANT_S
+from heatherpier.leases._grants import GRANT_S, GRANTING_VIEW_S
 from heatherpier.leases._peers import RELEASE_MARGIN_S
 from heatherpier.leases._watcher import MINORITY_S
 from heatherpier.statements import Done
@@ -96,6 +96,20 @@
     assert terms[-1] > 1
 
 
+async def test_a_next_life_does_not_support_what_the_one_before_released(world, timers):
+    # proxy-0 released a primary, ended, and hears of the time before by proxy-3 only.
+    await timers.sleep(1.0)
+    world.store.faults.silent |= set(world.names)
+    await restart(world, "proxy-0")
+    await timers.sleep(2.0)
+    engine = world.engines["proxy-0"]
+    assert engine.view.copy.age_s() < GRANTING_VIEW_S
+    assert engine._grants.give() == 0.0
+    world.store.faults.silent.clear()
+    await timers.sleep(2.0)
+    assert engine._grants.give() > 0.0
+
+
 async def test_a_next_life_keeps_the_promises_of_the_one_before(world, timers):
     # proxy-0 may have promised something right before its end.
     began = timers.now()
