--- a/src/heatherpier/platform/tests/_soak.py
+++ b/src/heatherpier/platform/tests/_soak.py
@@ -308,6 +308,11 @@
     def _one_instance(self) -> LineInstance:
         return self.rng.choice(list(self.group.instances.values()))
 
+    def _primary(self) -> LineInstance | None:
+        """Returns the newest primary; none leads while one is being promoted."""
+        leading = any(item.leads for item in self.group.instances.values())
+        return self.group.primary() if leading else None
+
     def _some_names(self) -> set[str]:
         names = [item.name for item in self.proxies]
         return set(self.rng.sample(names, len(names) // 2))
@@ -354,8 +359,8 @@
         self._instances[instance.name][0].reset()
         await self.timers.sleep(for_s)
         instance.running = True
-        newest = self.group.primary()
-        if newest is not instance:
+        newest = self._primary()
+        if newest is not None and newest is not instance:
             instance.leads = False
             instance.term = newest.term
             instance.log = list(newest.log)
@@ -376,7 +381,9 @@
         """Leaves the primary to one proxy without store."""
         name = self.rng.choice(self.proxies).name
         others = {item.name for item in self.proxies} - {name}
-        primary = self.group.primary()
+        primary = self._primary()
+        if primary is None:
+            return
         primary.cut_from |= others
         self.store.faults.silent.add(name)
         await self.timers.sleep(for_s)
@@ -388,9 +395,11 @@
 
     async def _hand_over(self, for_s: float) -> None:
         """Has the primary leave while some proxies hear nothing of the store."""
-        names = self._some_names()
+        primary, names = self._primary(), self._some_names()
+        if primary is None:
+            return
         self.store.faults.silent |= names
-        await self._set_leaving(self.group.primary(), for_s)
+        await self._set_leaving(primary, for_s)
         self.store.faults.silent -= names
 
     async def _leave(self, for_s: float) -> None:
