--- a/src/heatherpier/leases/_fence.py
+++ b/src/heatherpier/leases/_fence.py
@@ -86,8 +86,8 @@
     async def close(self, *, term: int, began: float) -> None:
         """Returns when nobody relies on the old primary any more.
 
-        That is when all members have released it or have ended, when it says that it no longer
-        leads, or when all rights to use it have lapsed.
+        That is when all members have released it or have ended, when it says that it
+        no longer leads, or when all rights to use it have lapsed.
 
         Args:
             term: Highest term that is known.
--- a/src/heatherpier/leases/_watcher.py
+++ b/src/heatherpier/leases/_watcher.py
@@ -252,16 +252,16 @@
             return False
         probing = asyncio.create_task(self._probe(known))
         try:
-            answers = await self._within(probing, SURVEY_AFTER_S)
-            if answers is None:
+            leads = await self._within(probing, SURVEY_AFTER_S)
+            if leads is None:
                 survey = await self._links.survey(known.name)
-                answers = await probing
+                leads = await probing
         finally:
             probing.cancel()
-        if answers is not None:
-            if answers:
+        if leads is not None:
+            if leads:
                 await self._timers.sleep(PROBE_REST_S)
-            return not answers
+            return not leads
         lost = not survey.reaching
         if lost and survey.failing < release_quorum(survey.members):
             # Those that can't be asked may be well, and the primary with them.
