--- a/src/heatherpier/platform/tests/_soak.py
+++ b/src/heatherpier/platform/tests/_soak.py
@@ -38,7 +38,7 @@
 LONGEST_FAULT_S = 5.0
 # The longest wait for rights of proxies that don't answer, a promotion, and rests.
 RECOVERY_S = 25.0
-MAIN = "from heatherpier._cli import main; main()"
+MAIN = "import sys; from heatherpier._serve import main; main(sys.argv[1])"
 DATABASES = {
     "exact": ("primary", 0),
     "aged": ("bounded_staleness", MAX_AGE_S * 1000),
@@ -64,12 +64,10 @@
 
     async def start(self) -> None:
         """Starts the process."""
-        command = [sys.executable, "-c", self._program]
+        command = [sys.executable, "-c", self._program, str(self._settings)]
         with self._settings.with_suffix(".log").open("ab") as output:
             self._process = await asyncio.create_subprocess_exec(
                 *command,
-                "serve",
-                f"--settings={self._settings}",
                 stdout=output,
                 stderr=asyncio.subprocess.PIPE,
             )
@@ -96,7 +94,7 @@
         folder: Where settings and logs of the proxies go.
         seed: Seed of all faults.
         proxies: Count of proxies.
-        program: Python source that runs the command line.
+        program: Python source that runs a proxy by its settings file.
         hand_overs_only: Whether all faults are primaries that leave unheard.
     """
 
