--- a/src/heatherpier/platform/tests/test_whole_proxy.py
+++ b/src/heatherpier/platform/tests/test_whole_proxy.py
@@ -1,7 +1,6 @@
 """A whole proxy as a process against stand-ins of the store and of one instance."""
 
 import asyncio
-import base64
 import json
 import os
 import signal
@@ -9,70 +8,14 @@
 
 import aiohttp
 import pytest
-from aiohttp import web
 
 from heatherpier.bench import free_ports
+from heatherpier.bench._row_store import MemoryRowStore
+from heatherpier.platform.tests._stand_ins import HOST, StoreServer
 from heatherpier.telemetry._output import BoundedOutput
+from heatherpier.timers import LoopTimers
 
 READY_S = 20
-HOST = "127.0.0.1"
-
-
-class Store:
-    """Rows of the tables, by the store's calls."""
-
-    def __init__(self):
-        self.rows = {}
-        self.version = 0
-        self.changed = asyncio.Event()
-
-    def write(self, table, key, body):
-        self.version += 1
-        value = base64.b64encode(body).decode()
-        self.rows[table, key] = {
-            "table": table,
-            "part": "",
-            "key": key,
-            "value": value,
-            "ver": self.version,
-        }
-        self.changed.set()
-        self.changed = asyncio.Event()
-
-    def answer(self, rows):
-        now_ms = asyncio.get_running_loop().time() * 1000
-        return web.json_response(
-            {"rows": rows, "truncated": False, "ver": self.version, "nowMs": now_ms}
-        )
-
-    def since(self, table, after):
-        return [
-            row
-            for (name, _), row in self.rows.items()
-            if name == table and row["ver"] > after
-        ]
-
-    async def get(self, req):
-        return self.answer(self.since(req.query["table"], 0))
-
-    async def feed(self, req):
-        table, after = req.query["table"], int(req.query["after"])
-        until = asyncio.get_running_loop().time() + int(req.query["waitMs"]) / 1000
-        while not self.since(table, after):
-            left_s = until - asyncio.get_running_loop().time()
-            if left_s <= 0:
-                break
-            try:
-                await asyncio.wait_for(self.changed.wait(), left_s)
-            except TimeoutError:
-                break
-        return self.answer(self.since(table, after))
-
-    async def commit(self, req):
-        change = await req.json()
-        for row in change["writes"]:
-            self.write(row["table"], row["key"], base64.b64decode(row["value"]))
-        return web.json_response({"ver": self.version, "nowMs": 1})
 
 
 async def serve_instance(reader, writer, texts):
@@ -91,14 +34,9 @@
 @pytest.fixture
 async def deployment(tmp_path):
     front, ready, inner, _, store_port = free_ports(5)
-    store, texts = Store(), []
-    app = web.Application()
-    app.router.add_get("/rows-get", store.get)
-    app.router.add_get("/rows-feed", store.feed)
-    app.router.add_post("/rows-tx", store.commit)
-    runner = web.AppRunner(app, shutdown_timeout=0.1)
-    await runner.setup()
-    await web.TCPSite(runner, HOST, store_port).start()
+    store, texts = MemoryRowStore(timers=LoopTimers()), []
+    stores = StoreServer(store, {})
+    await stores.start("proxy-1", port=store_port)
     server = await asyncio.start_server(
         lambda reader, writer: serve_instance(reader, writer, texts), HOST, 0
     )
@@ -144,7 +82,7 @@
     )
     yield front, ready, inner + 1, settings, texts
     server.close()
-    await runner.cleanup()
+    await stores.close()
 
 
 @pytest.fixture
