Split the links between proxies by what they are for

Read as a newcomer: one class asked and answered about members, releases, holders, surveys and copies of tables. Each is a class of its own now, with its messages and limits; what a peer may still do with a primary is named after the release.

--- a/src/heatherpier/_line_engine.py
+++ b/src/heatherpier/_line_engine.py
@@ -13,9 +13,11 @@
 from heatherpier.feeds import Row, TableCopy, TableFollower
 from heatherpier.leases import (
     FLEET_TABLE,
+    CopyExchange,
     CopyRelay,
     FleetView,
     Grants,
+    Holders,
     MemberLiveness,
     PeerLinks,
     PeerWatch,
@@ -24,6 +26,8 @@
     PrimaryUse,
     PrimaryWatcher,
     Registration,
+    Releases,
+    Surveys,
 )
 from heatherpier.lending import (
     ConnectionShares,
@@ -140,25 +144,33 @@
             configuration_recent=self._configuration_recent,
         )
         self._runner = Runner(self.core)
-        self._links = self._make_links()
-        self._changer = self._make_changer()
-        self._watchers: dict[str, asyncio.Task[None]] = {}
-        self._stack = AsyncExitStack()
-
-    def _make_links(self) -> PeerLinks:
-        return PeerLinks(
-            self._place.me.name,
-            network=self._ports.network,
-            copies={copy.table: copy for copy in self._copies},
+        network, me = ports.network, place.me.name
+        self._links = PeerLinks(me, network=network, view=self.view)
+        self._holders = Holders(me, network=network, view=self.view)
+        self._surveys = Surveys(
+            links=self._links,
+            network=network,
+            registry=self._registry,
+            control=ports.control,
+            note_failure=self._note_failure,
+        )
+        self._releases = Releases(
+            network=network,
             view=self.view,
-            rights=self.core.rights,
+            rights=rights,
             grants=self._grants,
             use=self.core.use,
-            registry=self._registry,
-            control=self._ports.control,
-            note_failure=self._note_failure,
-            timers=self._timers,
+            timers=timers,
+        )
+        self._exchange = CopyExchange(
+            network=network,
+            copies={copy.table: copy for copy in self._copies},
+            grants=self._grants,
+            timers=timers,
         )
+        self._changer = self._make_changer()
+        self._watchers: dict[str, asyncio.Task[None]] = {}
+        self._stack = AsyncExitStack()
 
     def _note_failure(self, name: str, reason: str) -> None:
         self._health.note_failure(name, reason=reason, sent_at=self._timers.now())
@@ -169,6 +181,8 @@
             store=self._ports.store,
             view=self.view,
             links=self._links,
+            releases=self._releases,
+            holders=self._holders,
             registry=self._registry,
             control=self._ports.control,
             promotions=self._ports.promotions,
@@ -180,6 +194,7 @@
         ports, timers, rng = self._ports, self._timers, self._rng
         peer_watch = PeerWatch(
             links=self._links,
+            exchange=self._exchange,
             view=self.view,
             distance=self._place.distance,
             timers=timers,
@@ -214,6 +229,7 @@
         )
         relay = CopyRelay(
             links=self._links,
+            exchange=self._exchange,
             fleet=self.view.copy,
             others=[self._configurations, self._instances],
             seeds=list(self._place.seeds),
@@ -286,6 +302,8 @@
             registry=self._registry,
             control=self._ports.control,
             links=self._links,
+            surveys=self._surveys,
+            holders=self._holders,
             changer=self._changer,
             instances_known_s=self._instances_known_s,
             failing_since=self._health.failing_since,
--- a/src/heatherpier/leases/__init__.py
+++ b/src/heatherpier/leases/__init__.py
@@ -1,8 +1,10 @@
 """Who leads each service, who may rely on it for how long, and how that changes."""
 
 from heatherpier.leases._changer import ChangeFailedError, PrimaryChanger
+from heatherpier.leases._exchange import CopyExchange
 from heatherpier.leases._fence import ChangeOrder
 from heatherpier.leases._grants import Grants
+from heatherpier.leases._holders import Holders
 from heatherpier.leases._interface import (
     ControlError,
     InstanceControl,
@@ -26,7 +28,9 @@
 )
 from heatherpier.leases._registration import Registration
 from heatherpier.leases._relay import CopyRelay
+from heatherpier.leases._releases import Releases
 from heatherpier.leases._rights import LEASE_S, NoRight, PrimaryRights, Right
+from heatherpier.leases._surveys import Surveys
 from heatherpier.leases._use import PrimaryUse
 from heatherpier.leases._view import (
     FLEET_TABLE,
@@ -47,9 +51,11 @@
     "ChangeOrder",
     "Changing",
     "ControlError",
+    "CopyExchange",
     "CopyRelay",
     "FleetView",
     "Grants",
+    "Holders",
     "InstanceControl",
     "Leadership",
     "LeadershipRecord",
@@ -66,7 +72,9 @@
     "PrimaryWatcher",
     "Promotions",
     "Registration",
+    "Releases",
     "Right",
+    "Surveys",
     "Standing",
     "TurnedAwayError",
     "decode_leadership",
--- a/src/heatherpier/leases/_changer.py
+++ b/src/heatherpier/leases/_changer.py
@@ -13,6 +13,7 @@
 )
 from heatherpier.groups import LogPosition
 from heatherpier.leases._fence import CONTROL_TIMEOUT_S, ChangeOrder, Fence
+from heatherpier.leases._holders import Holders
 from heatherpier.leases._interface import (
     ControlError,
     InstanceControl,
@@ -28,6 +29,7 @@
     Led,
     encode_leadership,
 )
+from heatherpier.leases._releases import Releases
 from heatherpier.leases._view import FLEET_TABLE, LEADER_PREFIX, FleetView
 from heatherpier.telemetry import get_logger
 from heatherpier.timers import Timers
@@ -64,7 +66,9 @@
         me: Name of this proxy.
         store: The store.
         view: Members and leaders.
-        links: Asks peers.
+        links: The other proxies.
+        releases: Has primaries released.
+        holders: Learns which changes this proxy is at work on.
         registry: The registered instances.
         control: Control statements to instances.
         promotions: Orders promotions.
@@ -80,6 +84,8 @@
         store: RowStore,
         view: FleetView,
         links: PeerLinks,
+        releases: Releases,
+        holders: Holders,
         registry: InstanceRegistry,
         control: InstanceControl,
         promotions: Promotions,
@@ -90,6 +96,8 @@
         self._store = store
         self._view = view
         self._links = links
+        self._releases = releases
+        self._holders = holders
         self._registry = registry
         self._control = control
         self._promotions = promotions
@@ -103,11 +111,11 @@
             ChangeConflictError: Another proxy was faster.
             ChangeFailedError: It could not be carried through.
         """
-        self._links.changing.add(order.service)
+        self._holders.changing.add(order.service)
         try:
             await self._change(order)
         finally:
-            self._links.changing.discard(order.service)
+            self._holders.changing.discard(order.service)
 
     async def _change(self, order: ChangeOrder) -> None:
         log.info(
@@ -154,6 +162,7 @@
             record,
             view=self._view,
             links=self._links,
+            releases=self._releases,
             control=self._control,
             timers=self._timers,
         )
--- /dev/null
+++ b/src/heatherpier/leases/_exchange.py
@@ -0,0 +1,158 @@
+"""How proxies give each other their copies of the store's tables."""
+
+import asyncio
+
+from heatherpier.feeds import Changes, Row, TableCopy
+from heatherpier.fleet import Message, Peer, PeerNetwork, PeerUnreachableError
+from heatherpier.leases._grants import Grants
+from heatherpier.leases._messages import CopyAnswer, CopyRequest, TableAnswer
+from heatherpier.leases._peers import REQUEST_TIMEOUT_S
+from heatherpier.telemetry import get_logger
+from heatherpier.timers import Timers
+
+log = get_logger("leases")
+# No question is held for longer, whatever a peer asks for.
+MOST_HOLD_S = 5.0
+
+
+class CopyExchange:
+    """Takes tables from peers, and gives them.
+
+    Args:
+        network: Requests and answers between proxies.
+        copies: Copies of tables by name, shared with peers.
+        grants: Promises between proxies.
+        timers: Timer service.
+    """
+
+    def __init__(
+        self,
+        *,
+        network: PeerNetwork,
+        copies: dict[str, TableCopy],
+        grants: Grants,
+        timers: Timers,
+    ) -> None:
+        self._network = network
+        self._copies = copies
+        self._grants = grants
+        self._timers = timers
+        self._news = asyncio.Event()
+        for copy in copies.values():
+            copy.subscribe(self._note_news)
+        network.handle(CopyRequest, self._on_copy)
+
+    async def refresh(self, peers: list[Peer]) -> None:
+        """Takes over what peers know that is newer, and asks for their support."""
+        await asyncio.gather(
+            *(self._ask_for_copies(peer, hold_s=0.0, support=True) for peer in peers)
+        )
+
+    async def watch_by(self, peer: Peer, *, hold_s: float) -> bool:
+        """Takes over what a peer knows, as soon as something changes there.
+
+        Args:
+            peer: The peer.
+            hold_s: Longest wait for a change, in seconds.
+
+        Returns:
+            Whether it answered.
+        """
+        return await self._ask_for_copies(peer, hold_s=hold_s, support=False)
+
+    async def _ask_for_copies(
+        self, peer: Peer, *, hold_s: float, support: bool
+    ) -> bool:
+        versions = {name: copy.version for name, copy in self._copies.items()}
+        req = CopyRequest(versions=versions, hold_s=hold_s, support=support)
+        sent_at = self._timers.elapsed()
+        try:
+            answer = await self._network.request(
+                peer, req, timeout_s=hold_s + REQUEST_TIMEOUT_S
+            )
+        except PeerUnreachableError as exc:
+            log.info("peer gives no tables", peer=peer.name, reason=str(exc))
+            return False
+        if not isinstance(answer, CopyAnswer):
+            return False
+        for name, table in answer.tables.items():
+            copy = self._copies.get(name)
+            if copy is not None:
+                held_at = sent_at + answer.held_s
+                self._take_table(copy, table, sent_at=held_at, peer=peer)
+        if not support:
+            return True
+        self._grants.receive(peer.name, asked_at=sent_at, grant_s=answer.grant_s)
+        return True
+
+    def _take_table(
+        self, copy: TableCopy, table: TableAnswer, *, sent_at: float, peer: Peer
+    ) -> None:
+        changes = Changes(
+            rows=tuple(
+                Row(key=key, version=version, body=body)
+                for key, version, body in table.rows
+            ),
+            version=table.version,
+            as_of=sent_at - table.age_s,
+        )
+        if table.version < copy.version:
+            return
+        if table.rows:
+            log.info(
+                "table taken from a peer",
+                table=copy.table,
+                peer=peer.name,
+                version=table.version,
+                previous=copy.version,
+                rows=len(table.rows),
+                age_s=round(table.age_s, 3),
+            )
+        if table.whole:
+            copy.replace(changes)
+        else:
+            copy.apply(changes)
+
+    async def _on_copy(self, sender: str, req: CopyRequest) -> Message | None:
+        began = self._timers.elapsed()
+        if req.hold_s > 0 and not self._has_news(req):
+            await self._wait_for_news(min(req.hold_s, MOST_HOLD_S))
+        return CopyAnswer(
+            tables={
+                name: _describe(copy, since=req.versions.get(name, 0))
+                for name, copy in self._copies.items()
+                if copy.version
+            },
+            grant_s=self._grants.give() if req.support else 0.0,
+            held_s=self._timers.elapsed() - began,
+        )
+
+    def _has_news(self, req: CopyRequest) -> bool:
+        """Tells whether a peer lacks rows that are known here."""
+        return any(
+            copy.changes_since(req.versions.get(name, 0)) != ()
+            for name, copy in self._copies.items()
+        )
+
+    async def _wait_for_news(self, limit_s: float) -> None:
+        try:
+            async with self._timers.timeout(limit_s):
+                await self._news.wait()
+        except TimeoutError:
+            # That nothing has changed is the answer.
+            return
+
+    def _note_news(self, row: Row) -> None:
+        self._news.set()
+        self._news = asyncio.Event()
+
+
+def _describe(copy: TableCopy, *, since: int) -> TableAnswer:
+    changed = copy.changes_since(since)
+    rows = copy.rows() if changed is None else changed
+    return TableAnswer(
+        version=copy.version,
+        age_s=copy.age_s(),
+        rows=[(row.key, row.version, row.body) for row in rows],
+        whole=changed is None,
+    )
--- a/src/heatherpier/leases/_fence.py
+++ b/src/heatherpier/leases/_fence.py
@@ -8,8 +8,9 @@
 from heatherpier.fleet import Peer
 from heatherpier.leases._grants import GRANT_S, GRANTING_VIEW_S, release_quorum
 from heatherpier.leases._interface import ControlError, InstanceControl
-from heatherpier.leases._peers import PeerLinks, Use
+from heatherpier.leases._peers import PeerLinks
 from heatherpier.leases._records import LeadershipRecord
+from heatherpier.leases._releases import ReleaseResult, Releases
 from heatherpier.leases._rights import LEASE_S
 from heatherpier.leases._view import FleetView
 from heatherpier.telemetry import get_logger
@@ -60,7 +61,8 @@
         order: The change.
         record: The leadership row that says so.
         view: Members and leaders.
-        links: Asks peers.
+        links: The other proxies.
+        releases: Has primaries released.
         control: Control statements to instances.
         timers: Timer service.
     """
@@ -72,6 +74,7 @@
         *,
         view: FleetView,
         links: PeerLinks,
+        releases: Releases,
         control: InstanceControl,
         timers: Timers,
     ) -> None:
@@ -79,6 +82,7 @@
         self._record = record
         self._view = view
         self._links = links
+        self._releases = releases
         self._control = control
         self._timers = timers
         self._released: set[str] = set()
@@ -124,7 +128,7 @@
     async def _wait_for_releases(self) -> None:
         order = self._order
         drain_s = PLANNED_DRAIN_S if order.planned else LOST_DRAIN_S
-        here = self._links.release_here(order.service, drain_s=drain_s)
+        here = self._releases.release_here(order.service, drain_s=drain_s)
         there = [self._release_at(peer, drain_s) for peer in self._links.others()]
         await asyncio.gather(here, *there)
         # A member that was removed lately could not be asked.
@@ -134,13 +138,13 @@
     async def _release_at(self, peer: Peer, drain_s: float) -> None:
         service = self._order.service
         while True:
-            use = await self._links.release_at(
+            result = await self._releases.release_at(
                 peer, service, self._record, drain_s=drain_s
             )
-            if use is Use.RELEASED:
+            if result is ReleaseResult.RELEASED:
                 self._released.add(peer.name)
                 return
-            if use is Use.ENDED and self._enough_released():
+            if result is ReleaseResult.ENDED and self._enough_released():
                 return
             await self._timers.sleep(RETRY_S)
 
--- a/src/heatherpier/leases/_peer_watch.py
+++ b/src/heatherpier/leases/_peer_watch.py
@@ -7,6 +7,7 @@
 
 from heatherpier.feeds import TableCopy
 from heatherpier.fleet import Peer
+from heatherpier.leases._exchange import CopyExchange
 from heatherpier.leases._peers import PeerLinks
 from heatherpier.leases._view import FleetView
 from heatherpier.telemetry import get_logger
@@ -26,7 +27,8 @@
     """Has a proxy off the panel follow all tables by one member of it.
 
     Args:
-        links: Asks peers.
+        links: The other proxies.
+        exchange: Takes tables from peers.
         view: Members and leaders.
         distance: Tells how far a data centre is.
         timers: Timer service.
@@ -39,6 +41,7 @@
         self,
         *,
         links: PeerLinks,
+        exchange: CopyExchange,
         view: FleetView,
         distance: Callable[[str], int],
         timers: Timers,
@@ -46,6 +49,7 @@
         self.direct = asyncio.Event()
         self.direct.set()
         self._links = links
+        self._exchange = exchange
         self._view = view
         self._distance = distance
         self._timers = timers
@@ -66,7 +70,7 @@
             await self._timers.sleep(RETRY_S)
 
     async def _follow(self, peer: Peer) -> bool:
-        answered = await self._links.watch_by(peer, hold_s=HOLD_S)
+        answered = await self._exchange.watch_by(peer, hold_s=HOLD_S)
         if answered and self._copy.age_s() < FRESH_S:
             return True
         self._avoided[peer.name] = self._timers.now() + AVOID_S
--- a/src/heatherpier/leases/_relay.py
+++ b/src/heatherpier/leases/_relay.py
@@ -2,6 +2,7 @@
 
 from heatherpier.feeds import TableCopy
 from heatherpier.fleet import Peer
+from heatherpier.leases._exchange import CopyExchange
 from heatherpier.leases._peers import PeerLinks
 from heatherpier.telemetry import get_logger
 from heatherpier.timers import Timers
@@ -17,7 +18,8 @@
     """Asks peers for tables while own watches fail.
 
     Args:
-        links: Asks peers.
+        links: The other proxies.
+        exchange: Takes tables from peers.
         fleet: Copy of the fleet's table.
         others: Copies of the other tables.
         seeds: Proxies to ask while no members are known.
@@ -28,12 +30,14 @@
         self,
         *,
         links: PeerLinks,
+        exchange: CopyExchange,
         fleet: TableCopy,
         others: list[TableCopy],
         seeds: list[Peer],
         timers: Timers,
     ) -> None:
         self._links = links
+        self._exchange = exchange
         self._fleet = fleet
         self._others = others
         self._seeds = seeds
@@ -53,4 +57,4 @@
                     fleet_age_s=round(self._fleet.age_s(), 2),
                 )
             if stale:
-                await self._links.refresh_copies(self._links.panel() or self._seeds)
+                await self._exchange.refresh(self._links.panel() or self._seeds)
--- /dev/null
+++ b/src/heatherpier/leases/_surveys.py
@@ -0,0 +1,114 @@
+"""Whether an instance answers the members of the panel."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from heatherpier.discovery import InstanceRegistry
+from heatherpier.fleet import Message, Peer, PeerNetwork, PeerUnreachableError
+from heatherpier.leases._interface import (
+    ControlError,
+    InstanceControl,
+    TurnedAwayError,
+)
+from heatherpier.leases._messages import ReachAnswer, ReachRequest
+from heatherpier.leases._peers import PeerLinks
+from heatherpier.telemetry import get_logger
+
+log = get_logger("leases")
+# A peer's answer about an instance rests on a new connection to it.
+REACH_TIMEOUT_S = 0.7
+PROBE_TIMEOUT_S = 0.4
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Survey:
+    """Who reaches an instance.
+
+    Attributes:
+        members: Count of members of the panel.
+        reaching: Names of those that it answers.
+        failing: Count of those that it does not answer, this one included.
+    """
+
+    members: int
+    reaching: tuple[str, ...]
+    failing: int
+
+
+class Surveys:
+    """Asks the panel about instances, and answers such questions.
+
+    Args:
+        links: The other proxies.
+        network: Requests and answers between proxies.
+        registry: The registered instances.
+        control: Control statements to instances.
+        note_failure: Takes in that an instance did not answer, and why.
+    """
+
+    def __init__(
+        self,
+        *,
+        links: PeerLinks,
+        network: PeerNetwork,
+        registry: InstanceRegistry,
+        control: InstanceControl,
+        note_failure: Callable[[str, str], None],
+    ) -> None:
+        self._links = links
+        self._network = network
+        self._registry = registry
+        self._control = control
+        self._note_failure = note_failure
+        self._probes: dict[str, asyncio.Task[bool]] = {}
+        network.handle(ReachRequest, self._on_reach)
+
+    async def survey(self, instance: str) -> Survey:
+        """Asks the panel whether an instance answers its members."""
+        others = self._links.panel()
+        answers = await asyncio.gather(
+            *(self._ask_reach(peer, instance) for peer in others)
+        )
+        return Survey(
+            members=len(others) + 1,
+            reaching=tuple(
+                peer.name
+                for peer, answer in zip(others, answers, strict=True)
+                if answer is True
+            ),
+            failing=sum(answer is False for answer in answers) + 1,
+        )
+
+    async def _ask_reach(self, peer: Peer, instance: str) -> bool | None:
+        try:
+            answer = await self._network.request(
+                peer, ReachRequest(instance=instance), timeout_s=REACH_TIMEOUT_S
+            )
+        except PeerUnreachableError:
+            # A peer that does not answer tells nothing of the instance.
+            return None
+        return isinstance(answer, ReachAnswer) and answer.answers
+
+    async def _on_reach(self, sender: str, req: ReachRequest) -> Message | None:
+        # All peers that ask at once share one probe.
+        probe = self._probes.get(req.instance)
+        if probe is None:
+            probe = asyncio.create_task(self._probe(req.instance))
+            self._probes[req.instance] = probe
+            probe.add_done_callback(lambda _: self._probes.pop(req.instance))
+        return ReachAnswer(answers=await asyncio.shield(probe))
+
+    async def _probe(self, instance: str) -> bool:
+        record = self._registry.get(instance)
+        if record is None:
+            return False
+        try:
+            await self._control.standing(record, timeout_s=PROBE_TIMEOUT_S)
+        except TurnedAwayError:
+            return True
+        except ControlError as exc:
+            log.info("instance probed for peers", instance=instance, reason=str(exc))
+            self._note_failure(instance, str(exc))
+            return False
+        return True
--- a/src/heatherpier/leases/_watcher.py
+++ b/src/heatherpier/leases/_watcher.py
@@ -13,6 +13,7 @@
 from heatherpier.leases._changer import HOLD_S, ChangeFailedError, PrimaryChanger
 from heatherpier.leases._fence import ChangeOrder
 from heatherpier.leases._grants import release_quorum
+from heatherpier.leases._holders import Holders
 from heatherpier.leases._interface import (
     ControlError,
     InstanceControl,
@@ -21,6 +22,7 @@
 from heatherpier.leases._peers import PeerLinks
 from heatherpier.leases._records import Changing, LeadershipRecord
 from heatherpier.leases._rights import LEASE_S
+from heatherpier.leases._surveys import Surveys
 from heatherpier.leases._view import FleetView
 from heatherpier.telemetry import get_logger
 from heatherpier.timers import Timers
@@ -59,7 +61,9 @@
         view: Members and leaders.
         registry: The registered instances.
         control: Control statements to instances.
-        links: Asks peers.
+        links: The other proxies.
+        surveys: Asks the panel about instances.
+        holders: Asks holders of changes.
         changer: Replaces primaries.
         instances_known_s: Tells for how long the list of instances has been known, in
             seconds; 0 if it is out of date.
@@ -78,6 +82,8 @@
         registry: InstanceRegistry,
         control: InstanceControl,
         links: PeerLinks,
+        surveys: Surveys,
+        holders: Holders,
         changer: PrimaryChanger,
         instances_known_s: Callable[[], float],
         failing_since: Callable[[str], float | None],
@@ -91,6 +97,8 @@
         self._registry = registry
         self._control = control
         self._links = links
+        self._surveys = surveys
+        self._holders = holders
         self._changer = changer
         self._instances_known_s = instances_known_s
         self._failing_since = failing_since
@@ -151,7 +159,7 @@
             return
         since = self._failing_since(leader)
         if since is not None and self._timers.now() - since >= SUSPECT_S:
-            survey = await self._links.survey(leader)
+            survey = await self._surveys.survey(leader)
             log.info(
                 "primary reported",
                 service=self._service,
@@ -213,7 +221,7 @@
         seen_s = now - self._seen[1]
         if seen_s < HOLDER_CHECK_S:
             return None
-        if seen_s < TAKEOVER_S and not await self._links.has_given_up(
+        if seen_s < TAKEOVER_S and not await self._holders.has_given_up(
             state.holder, self._service
         ):
             return None
@@ -256,7 +264,7 @@
         try:
             leads = await self._within(probing, SURVEY_AFTER_S)
             if leads is None:
-                survey = await self._links.survey(known.name)
+                survey = await self._surveys.survey(known.name)
                 leads = await probing
         finally:
             probing.cancel()
--- a/src/heatherpier/leases/tests/test_restarts.py
+++ b/src/heatherpier/leases/tests/test_restarts.py
@@ -7,7 +7,7 @@
 from heatherpier.bench import _line_group, ask
 from heatherpier.leases import NoRight, Right
 from heatherpier.leases._grants import GRANT_S, GRANTING_VIEW_S
-from heatherpier.leases._peers import RELEASE_MARGIN_S
+from heatherpier.leases._releases import RELEASE_MARGIN_S
 from heatherpier.leases._watcher import MINORITY_S
 from heatherpier.statements import Done
 
@@ -115,7 +115,7 @@
     began = timers.now()
     engine = await restart(world, "proxy-0")
     await timers.sleep(0.1)
-    await engine._links.release_here("claims", drain_s=0.0)
+    await engine._releases.release_here("claims", drain_s=0.0)
     assert timers.now() - began >= GRANT_S
 
 
