Share the faults of both random tests, and split the soak

The faults are in bench/_line_faults.py now, for both; the soak is a deployment, its callers, and the faults of processes. The order of the draws changed, so all seeds play other series.

--- a/src/heatherpier/leases/tests/test_random_faults.py
+++ b/src/heatherpier/leases/tests/test_random_faults.py
@@ -5,12 +5,12 @@
 """
 
 import asyncio
-import dataclasses
 import random
 
 import pytest
 
 from heatherpier.bench import LineWorld, ask
+from heatherpier.bench._line_faults import LineFaults
 from heatherpier.bench._line_history import (
     History,
     find_old_commits,
@@ -23,6 +23,9 @@
 
 SEEDS = range(8)
 FAULTS_S = 30.0
+LONGEST_FAULT_S = 7.0
+# Mean time from one fault's beginning to the next.
+GAP_S = 2.5
 PAUSE_S = 0.1
 # The longest wait for rights of proxies that don't answer, a promotion, and rests.
 RECOVERY_S = 25.0
@@ -60,84 +63,21 @@
         await timers.sleep(PAUSE_S)
 
 
-class Chaos:
-    """Draws faults and ends them."""
+class ProxyFaults:
+    """Breaks whole proxies for a while."""
 
     def __init__(self, world, rng):
         self.world = world
         self.rng = rng
-        self.group = world.groups["claims"]
-        self.kinds = [
-            self.crash,
-            self.silence,
-            self.cut,
-            self.lag,
-            self.leave,
+
+    def kinds(self):
+        return [
             self.kill,
             self.power_off,
             self.isolate,
             self.part_from_peers,
-            self.silence_store,
-            self.refuse_store,
-            self.lose_answers,
-            self.forget_history,
-            self.strand,
         ]
 
-    async def run(self):
-        until = self.world.timers.now() + FAULTS_S
-        async with asyncio.TaskGroup() as tasks:
-            while self.world.timers.now() < until:
-                kind = self.rng.choice(self.kinds)
-                tasks.create_task(kind(self.rng.uniform(0.2, 7.0)))
-                await self.world.timers.sleep(self.rng.expovariate(1 / 2.5))
-
-    def instance(self):
-        return self.rng.choice(list(self.group.instances.values()))
-
-    async def crash(self, for_s):
-        instance = self.instance()
-        instance.running = False
-        await self.world.timers.sleep(for_s)
-        instance.running = True
-        newest = self.group.primary()
-        if newest is not instance:
-            instance.leads = False
-            instance.term = newest.term
-            instance.log = list(newest.log)
-
-    async def silence(self, for_s):
-        instance = self.instance()
-        instance.silent = True
-        await self.world.timers.sleep(for_s)
-        instance.silent = False
-
-    async def cut(self, for_s):
-        instance = self.instance()
-        names = set(self.rng.sample(self.world.names, 2))
-        instance.cut_from |= names
-        await self.world.timers.sleep(for_s)
-        instance.cut_from -= names
-
-    async def lag(self, for_s):
-        instance = self.instance()
-        instance.lag_s = 3.0
-        await self.world.timers.sleep(for_s)
-        instance.lag_s = 0.01
-
-    async def leave(self, for_s):
-        instance = self.instance()
-        staying = instance.record
-        if staying.instance.leaving:
-            return
-        instance.record = dataclasses.replace(
-            staying, instance=dataclasses.replace(staying.instance, leaving=True)
-        )
-        self.world.register(instance)
-        await self.world.timers.sleep(for_s)
-        instance.record = staying
-        self.world.register(instance)
-
     async def kill(self, for_s):
         await self.stop_proxy(for_s, self.world.kill)
 
@@ -158,60 +98,57 @@
         await self.world.timers.sleep(for_s)
         self.world.rejoin(name)
 
-    async def strand(self, for_s):
-        """Leaves the primary to one proxy that hears nothing of the others."""
-        name = self.rng.choice(self.world.names)
-        others = set(self.world.names) - {name}
-        primary = self.group.primary()
-        primary.cut_from |= others
-        self.world.isolate(name, instances=False)
-        await self.world.timers.sleep(for_s)
-        primary.cut_from -= others
-        self.world.rejoin(name)
-
     async def part_from_peers(self, for_s):
         name = self.rng.choice(self.world.names)
         self.world.fleet.stop(name)
         await self.world.timers.sleep(for_s)
         self.world.fleet.start(name)
 
-    async def silence_store(self, for_s):
-        self.world.store.faults.silent |= set(self.world.names)
-        await self.world.timers.sleep(for_s)
-        self.world.store.faults.silent.clear()
-
-    async def refuse_store(self, for_s):
-        names = set(self.rng.sample(self.world.names, 2))
-        self.world.store.faults.refused |= names
-        await self.world.timers.sleep(for_s)
-        self.world.store.faults.refused -= names
 
-    async def lose_answers(self, for_s):
-        self.world.store.faults.lose_answers += 1
-        self.world.store.faults.late_s = self.rng.choice([0.0, 0.5, 2.0])
-
-    async def forget_history(self, for_s):
-        self.world.store.forget_history()
-
-    def end(self):
-        self.world.store.faults.lose_answers = 0
-        for instance in self.group.instances.values():
-            instance.cut_from.clear()
-            instance.silent = False
+async def break_things(world, seed):
+    """Draws faults of everything, and ends them all."""
+    rng = random.Random(seed)
+    group = world.groups["claims"]
+    faults = LineFaults(
+        group,
+        store=world.store,
+        names=world.names,
+        rng=rng,
+        timers=world.timers,
+        register=world.register,
+        isolate=lambda name: world.isolate(name, instances=False),
+        rejoin=world.rejoin,
+    )
+    kinds = [
+        faults.crash,
+        faults.silence,
+        faults.cut,
+        faults.strand,
+        faults.lag,
+        faults.leave,
+        faults.silence_store,
+        faults.refuse_store,
+        faults.lose_answers,
+        faults.forget_history,
+        *ProxyFaults(world, rng).kinds(),
+    ]
+    await faults.draw(kinds, for_s=FAULTS_S, longest_s=LONGEST_FAULT_S, gap_s=GAP_S)
+    world.store.faults.lose_answers = 0
+    for instance in group.instances.values():
+        instance.cut_from.clear()
+        instance.silent = False
 
 
 async def play(timers, seed):
     """Plays one seed and returns the group, and what callers saw."""
     history = History()
     async with LineWorld(timers=timers, seed=seed) as world:
-        chaos = Chaos(world, random.Random(seed))
         stop = asyncio.Event()
         pressing = [
             asyncio.create_task(press(world, name, history, stop))
             for name in world.names
         ]
-        await chaos.run()
-        chaos.end()
+        await break_things(world, seed)
         ended_at = timers.now()
         await timers.sleep(RECOVERY_S)
         stop.set()
--- /dev/null
+++ b/src/heatherpier/platform/tests/_deployment.py
@@ -0,0 +1,168 @@
+"""Real proxies as processes, with stand-ins of what they speak to, on loopback."""
+
+import asyncio
+import json
+import signal
+import sys
+from pathlib import Path
+
+from heatherpier.bench import free_ports
+from heatherpier.bench._line_group import LineGroup, LineInstance
+from heatherpier.bench._row_store import MemoryRowStore
+from heatherpier.platform.tests._stand_ins import (
+    HOST,
+    InstanceServer,
+    StoreServer,
+    instance_row,
+)
+from heatherpier.timers import LoopTimers
+
+ZONES = ("north-a", "central-a", "south-a")
+SERVICE = "claims"
+MAX_AGE_S = 1.5
+STATEMENT_TIMEOUT_S = 0.8
+GRACE_S = 3.0
+MAIN = "import sys; from heatherpier._serve import main; main(sys.argv[1])"
+DATABASES = {
+    "exact": ("primary", 0),
+    "aged": ("bounded_staleness", MAX_AGE_S * 1000),
+}
+
+
+class ProxyProcess:
+    """One proxy with its settings file; started again after each end."""
+
+    def __init__(self, name: str, *, host: str, settings: Path, program: str) -> None:
+        self.name = name
+        self.host = host
+        # Exit codes of stops by SIGTERM.
+        self.exits: list[int] = []
+        self.errors = b""
+        self._settings = settings
+        self._program = program
+        self._process: asyncio.subprocess.Process | None = None
+
+    async def start(self) -> None:
+        """Starts the process."""
+        command = [sys.executable, "-c", self._program, str(self._settings)]
+        with self._settings.with_suffix(".log").open("ab") as output:
+            self._process = await asyncio.create_subprocess_exec(
+                *command,
+                stdout=output,
+                stderr=asyncio.subprocess.PIPE,
+            )
+
+    def signal(self, number: int) -> None:
+        """Sends a signal unless the process has ended."""
+        if self._process is not None and self._process.returncode is None:
+            self._process.send_signal(number)
+
+    async def ended(self) -> int:
+        """Waits for the process and returns its exit code."""
+        assert self._process is not None
+        _, errors = await self._process.communicate()
+        self.errors += errors
+        code = self._process.returncode
+        assert code is not None
+        return code
+
+
+class Deployment:
+    """Proxies, one group of instances and the store.
+
+    Args:
+        folder: Where settings and logs of the proxies go.
+        proxies: Count of proxies.
+        program: Python source that runs a proxy by its settings file.
+
+    Attributes:
+        proxies: The proxies; those that have ended too.
+        front: Port for callers, on each proxy's own address.
+    """
+
+    def __init__(self, folder: Path, *, proxies: int = 4, program: str = MAIN) -> None:
+        self.timers = LoopTimers()
+        self.store = MemoryRowStore(timers=self.timers)
+        self.group = LineGroup(SERVICE, zones=list(ZONES), timers=self.timers)
+        self._folder = folder
+        self._stores = StoreServer(self.store, {SERVICE: self.group})
+        self._instances: dict[str, tuple[InstanceServer, int]] = {}
+        self.proxies = [
+            ProxyProcess(
+                f"proxy-{number}",
+                host=f"127.0.1.{number + 1}",
+                settings=folder / f"proxy-{number}.yaml",
+                program=program,
+            )
+            for number in range(proxies)
+        ]
+        self.front, self._ready, self._inner, _ = free_ports(4)
+
+    async def __aenter__(self) -> "Deployment":
+        self.store.write("op", "config", json.dumps(self._configuration()).encode())
+        for instance in self.group.instances.values():
+            server = InstanceServer(self.group, instance, timers=self.timers)
+            self._instances[instance.name] = (server, await server.start())
+            self.register(instance)
+        for proxy, port in zip(
+            self.proxies, free_ports(len(self.proxies)), strict=True
+        ):
+            await self._stores.start(proxy.name, port=port)
+            self._write_settings(proxy, store_port=port)
+            await proxy.start()
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        for proxy in self.proxies:
+            proxy.signal(signal.SIGCONT)
+            proxy.signal(signal.SIGKILL)
+            await proxy.ended()
+        for server, _ in self._instances.values():
+            await server.close()
+        await self._stores.close()
+
+    def register(self, instance: LineInstance) -> None:
+        """Has an instance say in the store how it is."""
+        port = self._instances[instance.name][1]
+        row = instance_row(instance, service=SERVICE, port=port)
+        self.store.write("servers", instance.name, row)
+
+    def reset(self, instance: LineInstance) -> None:
+        """Resets all connections of an instance."""
+        self._instances[instance.name][0].reset()
+
+    def _configuration(self) -> dict[str, object]:
+        routes = [
+            {
+                "host": name,
+                "kind": kind,
+                "maxStalenessMs": age_ms,
+                "timeoutMs": STATEMENT_TIMEOUT_S * 1000,
+                "targetLatencyMs": 400,
+                "priority": 1,
+                "service": SERVICE,
+            }
+            for name, (kind, age_ms) in DATABASES.items()
+        ]
+        services = [{"name": SERVICE, "maxConns": 40}]
+        return {"version": 1, "routes": routes, "services": services, "limits": {}}
+
+    def _write_settings(self, proxy: ProxyProcess, *, store_port: int) -> None:
+        number = self.proxies.index(proxy)
+        settings = {
+            "node": proxy.name,
+            "ip": proxy.host,
+            "zone": ZONES[number % len(ZONES)],
+            "zones": {zone: zone.removesuffix("-a") for zone in ZONES},
+            "listen": {
+                "front": f"{proxy.host}:{self.front}",
+                "ready": f"{proxy.host}:{self._ready}",
+            },
+            "internalPorts": [self._inner, self._inner + 1],
+            "seeds": [f"{item.host}:1" for item in self.proxies[:3]],
+            "platform": {"address": f"{HOST}:{store_port}"},
+            "cloudApi": {"address": f"{HOST}:{store_port}"},
+            "bounds": {"graceS": GRACE_S},
+        }
+        path = self._folder / f"{proxy.name}.yaml"
+        path.write_text(json.dumps(settings))
