Pools: keep the place of a connection whose waiter ends

Cause: a waiter that was cancelled during the check of an idle connection left that connection counted as open for good. A connection that was handed over in the turn of the event loop in which its waiter's time ended was handed to nobody.

Ruled out: closing the connection at the deadline; another waiter can use it.

Change: a cancelled check closes the connection and frees its place; what a waiter was given in the turn in which its wait ended goes to the next one.

--- a/src/heatherpier/pooling/_pool.py
+++ b/src/heatherpier/pooling/_pool.py
@@ -174,12 +174,17 @@
             async with self._timers.timeout_at(deadline):
                 return await fut
         except TimeoutError as exc:
+            self._pass_on(fut)
             raise self._overloaded(wait_s) from exc
         except asyncio.CancelledError:
-            if fut.done() and not fut.cancelled() and not fut.exception():
-                self._hand_over(fut.result())
+            self._pass_on(fut)
             raise
 
+    def _pass_on(self, fut: asyncio.Future[InstanceConnection | None]) -> None:
+        """Hands on what a waiter was given in the turn in which its wait ended."""
+        if fut.done() and not fut.cancelled() and not fut.exception():
+            self._hand_over(fut.result())
+
     def _back_off(self, reason: str) -> None:
         """Opens no connection for `REJECTED_BACKOFF_S`, then lets one waiter try."""
         now = self._timers.now()
@@ -264,6 +269,10 @@
                 instance=self.instance.name,
                 reason=str(exc),
             )
+        except asyncio.CancelledError:
+            conn.abort()
+            self._note_closed()
+            raise
         if conn.usable:
             return True
         self._note_closed()
--- a/src/heatherpier/pooling/tests/test_pool.py
+++ b/src/heatherpier/pooling/tests/test_pool.py
@@ -231,3 +231,36 @@
         await waiting
     await asyncio.gather(*holders)
     assert pool.open_connections == 0
+
+
+async def test_a_cancel_during_the_idle_check_frees_the_place(pool, timers):
+    pool.limits = PoolLimits(soft_limit=1, hard_limit=1)
+    await use(pool, timers)
+    await timers.sleep(5.0)
+
+    async def never(calls):
+        await asyncio.Event().wait()
+
+    pool._idle[0]._link.exchange = never
+    waiter = asyncio.create_task(use(pool, timers))
+    await timers.sleep(0.01)
+    waiter.cancel()
+    await asyncio.gather(waiter, return_exceptions=True)
+    assert pool.open_connections == 0
+    await use(pool, timers)
+
+
+async def test_a_connection_handed_over_at_the_deadline_of_a_waiter_is_kept(
+    pool, timers
+):
+    pool.limits = PoolLimits(soft_limit=1, hard_limit=1)
+    held = await pool.acquire({}, priority=1, deadline=timers.now() + 1.0)
+    waiter = asyncio.create_task(use(pool, timers, within=0.1))
+    # The connection is released in the turn of the event loop in which the wait ends.
+    asyncio.get_running_loop().call_at(
+        timers.now() + 0.1, lambda: pool.release(held, held_s=0.1)
+    )
+    await asyncio.gather(waiter, return_exceptions=True)
+    await timers.sleep(0.05)
+    await use(pool, timers, within=0.05)
+    assert pool.open_connections == 1
