Writes: refuse no attempt before the earlier ones are refused

Cause: Resolver.refuse inserted the refusal of attempt 2 without a look at attempt 1. If attempt 1 had run, the answer "not run" was false.

Ruled out: checking after the insert: the refusal would then be the key's last record, and hide the run from later look-ups.

Change: before the insert, the refusals of all earlier attempts are required (and renewed) in the same log, as a claim does; otherwise the last record decides.

Result: both tests fail before (Refused instead of Ran; no error), pass after.

--- a/src/heatherpier/writes/_resolver.py
+++ b/src/heatherpier/writes/_resolver.py
@@ -35,6 +35,7 @@
     RequestRecord,
     find_record,
     insert_record,
+    renew_refusals,
 )
 
 log = get_logger("writes")
@@ -145,8 +146,8 @@
     ) -> Ran | Refused:
         """Ensures that an attempt never runs, unless the key's last record is a run.
 
-        Unlike a claim, the refusal does not check that the attempts before this one
-        are refused in the same log.
+        Like a claim, the refusal needs the refusals of all attempts before this one in
+        the same log: an earlier attempt that ran would make the answer "not run" false.
 
         Raises:
             RefusedError: The key was used for another statement.
@@ -211,7 +212,9 @@
         self, group: Group, record: RequestRecord, *, deadline: float
     ) -> Ran | Refused:
         async with self._on_primary(group, deadline=deadline) as conn:
-            position = await self._insert_refusal(conn, record, deadline=deadline)
+            position = None
+            if await self._are_earlier_refused(conn, record, deadline=deadline):
+                position = await self._insert_refusal(conn, record, deadline=deadline)
             if position is None:
                 stored = await _fetch_stored_record(conn, record)
         if position is None:
@@ -219,10 +222,12 @@
             if isinstance(found, Ran):
                 return found
             if found.attempt <= record.attempt:
-                # A record blocked the insert, but is no longer there: it was pruned,
-                # or dropped with the log of an old term.
+                # An earlier attempt has no refusal. Or a record blocked the insert but
+                # is no longer there: it was pruned, or dropped with the log of an old
+                # term.
                 raise AttemptLostError(
-                    f"the record of key {record.key!r} no longer exists"
+                    f"attempt {record.attempt} of key {record.key!r} can't be refused: "
+                    "a record is missing"
                 )
             # The attempt is refused already, and this position covers its refusal.
             position = stored.status.position
@@ -230,6 +235,18 @@
         log.info("attempt refused", key=record.key, attempt=record.attempt)
         return Refused(position=position)
 
+    async def _are_earlier_refused(
+        self, conn: PooledConnection, record: RequestRecord, *, deadline: float
+    ) -> bool:
+        if record.attempt == 1:
+            return True
+        return await renew_refusals(
+            conn,
+            record,
+            created_ms=self._timers.wall_ms(),
+            timeout_s=deadline - self._timers.now(),
+        )
+
     async def _insert_refusal(
         self, conn: PooledConnection, record: RequestRecord, *, deadline: float
     ) -> LogPosition | None:
--- a/src/heatherpier/writes/tests/test_faults.py
+++ b/src/heatherpier/writes/tests/test_faults.py
@@ -16,6 +16,7 @@
     ReadOnlyError,
 )
 from heatherpier.writes import _resolver, _runner, _single
+from heatherpier.writes._errors import UnresolvedError
 from heatherpier.writes.tests import faults
 
 INSERT_CALL = "INSERT INTO calls VALUES ('linh')"
@@ -306,3 +307,32 @@
     outcome = await outcome_of(proxy, key="call-1", timeout_s=0.4)
     assert outcome is NotRunError
     await check_answer(bench, outcome)
+
+
+async def test_no_attempt_is_refused_after_an_earlier_one_that_ran(
+    bench, proxy, timers
+):
+    await proxy.write(INSERT_CALL, key="call-1")
+    record = _single.RequestRecord(
+        key="call-1",
+        attempt=2,
+        fingerprint=_single.fingerprint_of("assist-core-1", [INSERT_CALL]),
+        state=_single.RecordState.RUN,
+    )
+    resolver = _resolver.Resolver(timers=timers, rng=proxy.rng)
+    found = await resolver.refuse(proxy.group, record, deadline=timers.now() + 2)
+    assert isinstance(found, _resolver.Ran)
+    assert found.record.attempt == 1
+
+
+async def test_no_attempt_is_refused_before_the_earlier_ones_are(bench, proxy, timers):
+    record = _single.RequestRecord(
+        key="call-1",
+        attempt=2,
+        fingerprint=_single.fingerprint_of("assist-core-1", [INSERT_CALL]),
+        state=_single.RecordState.RUN,
+    )
+    resolver = _resolver.Resolver(timers=timers, rng=proxy.rng)
+    await resolver.create_table(proxy.group, deadline=timers.now() + 2)
+    with pytest.raises(UnresolvedError):
+        await resolver.refuse(proxy.group, record, deadline=timers.now() + 2)
