--- a/src/heatherpier/_proxy_engine.py
+++ b/src/heatherpier/_proxy_engine.py
@@ -18,10 +18,12 @@
 from heatherpier.leases import (
     FLEET_TABLE,
     ChangeCoordinators,
+    Confirmations,
     FleetView,
     Grants,
     IndirectProber,
     InFlightWork,
+    LeadershipRows,
     LeaseReleases,
     MemberLiveness,
     PeerLinks,
@@ -117,6 +119,7 @@
         self._instances.subscribe(self._apply_instance)
         self._registry.subscribe(self._forget_if_removed)
         self._instances_current_since = timers.elapsed()
+        self._instances.subscribe_to_epochs(self._restart_instances)
         self.view = FleetView(fleet, timers=timers)
         self._grants = Grants(location.me.name, view=self.view, timers=timers)
         leases = PrimaryLeases(
@@ -176,7 +179,20 @@
             grants=self._grants,
             timers=timers,
         )
+        self._rows = LeadershipRows(store=ports.store, view=self.view, timers=timers)
         self._changer = self._make_changer()
+        self._confirmations = Confirmations(
+            me,
+            network=network,
+            rows=self._rows,
+            view=self.view,
+            releases=self._releases,
+            coordinators=self._coordinators,
+            registry=self._registry,
+            control=ports.control,
+            instances_known_s=self._instances_current_s,
+            timers=timers,
+        )
         self._watchers: dict[str, asyncio.Task[None]] = {}
         self._stack = AsyncExitStack()
 
@@ -186,7 +202,7 @@
     def _make_changer(self) -> PrimaryChanger:
         return PrimaryChanger(
             self._location.me.name,
-            store=self._ports.store,
+            rows=self._rows,
             view=self.view,
             links=self._links,
             releases=self._releases,
@@ -309,6 +325,7 @@
             prober=self._prober,
             coordinators=self._coordinators,
             changer=self._changer,
+            confirmations=self._confirmations,
             instances_known_s=self._instances_current_s,
             failing_since=self._health.failing_since,
             note_answer=self._health.note_answer,
@@ -333,6 +350,13 @@
             return 0.0
         return self._timers.elapsed() - self._instances_current_since
 
+    def _restart_instances(self) -> None:
+        """Counts the list of instances as out of date from a restore of the store on.
+
+        Entries that the restore discarded are missing until the instances write again.
+        """
+        self._instances_current_since = self._timers.elapsed()
+
     def _synchronous_replicas(self, service: str) -> int:
         """Returns how many replicas hold a commit when it is acknowledged."""
         spec = self._routes.table.services.get(service)
--- a/src/heatherpier/bench/_fault_injector.py
+++ b/src/heatherpier/bench/_fault_injector.py
@@ -17,6 +17,13 @@
 NORMAL_LAG_S = 0.01
 # Delays after which a write whose answer is lost takes effect.
 LATE_WRITE_DELAYS_S = (0.0, 0.5, 2.0)
+# Ages of the backup from which the store is restored.
+MIN_BACKUP_AGE_S = 0.5
+MAX_BACKUP_AGE_S = 10.0
+# Longest time for which the store is away during a restore.
+MAX_RESTORE_S = 2.0
+# Time after a restore in which the operator and the instances write their rows again.
+REWRITE_S = 1.0
 
 
 class FaultInjector:
@@ -203,3 +210,40 @@
     async def drop_store_history(self, duration_s: float) -> None:
         """Drops the store's history, so that watches have to read whole tables."""
         self._store.drop_history()
+
+    async def restore_store(self, duration_s: float) -> None:
+        """Makes the store unavailable and restores it from an older backup."""
+        await self._restore(
+            away_s=min(duration_s, MAX_RESTORE_S),
+            back_s=self._rng.uniform(MIN_BACKUP_AGE_S, MAX_BACKUP_AGE_S),
+        )
+
+    async def restore_before_change(self, duration_s: float) -> None:
+        """Restores the store from a backup that lacks a change of primary.
+
+        The primary drains, and the store is lost while it is replaced or soon after.
+        Replicas apply commits late, so a read on the old primary shows its age.
+        """
+        primary = self._primary()
+        if primary is None:
+            return
+        began = self._timers.now()
+        for instance in self._group.instances.values():
+            instance.lag_s = FAULTY_LAG_S
+        drain = asyncio.create_task(self._drain(primary, duration_s + MAX_RESTORE_S))
+        await self._timers.sleep(self._rng.uniform(0.0, MAX_RESTORE_S))
+        back_s = self._timers.now() - began + self._rng.uniform(0.0, MIN_BACKUP_AGE_S)
+        await self._restore(away_s=MIN_FAULT_S, back_s=back_s)
+        await drain
+        for instance in self._group.instances.values():
+            instance.lag_s = NORMAL_LAG_S
+
+    async def _restore(self, *, away_s: float, back_s: float) -> None:
+        faults = self._store.faults
+        down = set(self._names) - faults.unresponsive_to
+        faults.unresponsive_to |= down
+        await self._timers.sleep(away_s)
+        self._store.restore(back_s=back_s + away_s)
+        faults.unresponsive_to -= down
+        await self._timers.sleep(REWRITE_S)
+        self._store.rewrite_external()
--- a/src/heatherpier/bench/_row_store.py
+++ b/src/heatherpier/bench/_row_store.py
@@ -1,15 +1,18 @@
 """Simulates the table store in memory, with its faults."""
 
 import asyncio
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from heatherpier.tables import (
     ChangeConflictError,
     Changes,
     HistoryLostError,
     Row,
+    StoreEpoch,
     StoreRefusedError,
     StoreUnavailableError,
+    make_version,
+    number_of,
 )
 from heatherpier.timers import Timers
 
@@ -47,16 +50,22 @@
     Attributes:
         faults: Switches for faults.
         calls: Number of calls of all proxies so far.
-        version: Version of the last change; 0 before the first one.
+        version: The store's own number of the last change; 0 before the first one.
+        epoch: Number of restores so far.
     """
 
     def __init__(self, *, timers: Timers) -> None:
         self.faults = StoreFaults()
         self.calls = 0
         self.version = 0
+        self.epoch = 0
         self._timers = timers
         self._tables: dict[str, dict[str, Row]] = {}
         self._history: list[tuple[str, Row]] = []
+        # All changes with the times at which they were made, for a restore.
+        self._backup: list[tuple[float, str, Row]] = []
+        # Newest rows of writers other than the proxies, which write them again.
+        self._external: dict[tuple[str, str], bytes | None] = {}
         self._dropped_until = 0
         self._changed = asyncio.Event()
 
@@ -70,6 +79,30 @@
         self._history.clear()
         self._notify()
 
+    def restore(self, *, back_s: float) -> None:
+        """Loses all changes of the last ``back_s`` seconds and begins a new epoch.
+
+        The versions of the lost changes are given out again.
+        """
+        until = self._timers.now() - back_s
+        self._backup = [item for item in self._backup if item[0] <= until]
+        self._tables.clear()
+        self._history.clear()
+        for _, table, row in self._backup:
+            self._apply(table, row)
+            self._history.append((table, row))
+        self.version = max((row.version for _, _, row in self._backup), default=0)
+        self._dropped_until = min(self._dropped_until, self.version)
+        self.epoch += 1
+        self._notify()
+
+    def rewrite_external(self) -> None:
+        """Writes again what the operator and the instances wrote and a restore lost."""
+        for (table, key), body in self._external.items():
+            row = self.row(table, key)
+            if (None if row is None else row.body) != body:
+                self.write(table, key, body)
+
     def row(self, table: str, key: str) -> Row | None:
         """Returns a row, or None if it does not exist."""
         return self._tables.get(table, {}).get(key)
@@ -85,24 +118,33 @@
         Returns:
             The new version.
         """
+        self._external[(table, key)] = body
+        return self.commit(table, key, body)
+
+    def commit(self, table: str, key: str, body: bytes | None) -> int:
+        """Changes a row, and returns the store's own number of the change."""
         self.version += 1
         row = Row(key=key, version=self.version, body=body)
-        rows = self._tables.setdefault(table, {})
-        if body is None:
-            rows.pop(key, None)
-        else:
-            rows[key] = row
+        self._apply(table, row)
         self._history.append((table, row))
+        self._backup.append((self._timers.now(), table, row))
         self._notify()
         return self.version
 
+    def _apply(self, table: str, row: Row) -> None:
+        rows = self._tables.setdefault(table, {})
+        if row.body is None:
+            rows.pop(row.key, None)
+        else:
+            rows[row.key] = row
+
     def check(self, table: str, key: str, expected: int) -> None:
-        """Checks the version of a row.
+        """Checks the store's own number of a row, whatever its epoch.
 
         Args:
             table: Name of the table.
             key: Key of the row.
-            expected: Expected version; 0 if the row must not exist.
+            expected: Expected number; 0 if the row must not exist.
 
         Raises:
             ChangeConflictError: The row has another version.
@@ -113,8 +155,7 @@
 
     def snapshot(self, table: str) -> Changes:
         """Returns all rows of a table."""
-        rows = tuple(self._tables.get(table, {}).values())
-        return Changes(rows=rows, version=self.version, as_of=self._timers.elapsed())
+        return self._changes(tuple(self._tables.get(table, {}).values()))
 
     def since(self, table: str, after: int) -> Changes:
         """Returns the changes of a table after a version.
@@ -124,10 +165,22 @@
         """
         if after < self._dropped_until:
             raise HistoryLostError(f"no history up to version {self._dropped_until}")
+        if after > self.version:
+            raise HistoryLostError(f"version {after} is not known")
         rows = tuple(
             row for name, row in self._history if name == table and row.version > after
         )
-        return Changes(rows=rows, version=self.version, as_of=self._timers.elapsed())
+        return self._changes(rows)
+
+    def _changes(self, rows: tuple[Row, ...]) -> Changes:
+        return Changes(
+            rows=tuple(
+                replace(row, version=make_version(self.epoch, row.version))
+                for row in rows
+            ),
+            version=make_version(self.epoch, self.version),
+            as_of=self._timers.elapsed(),
+        )
 
     async def wait_for_change(self, timeout_s: float) -> None:
         """Waits for the next change of any table, at most ``timeout_s`` seconds."""
@@ -155,10 +208,12 @@
         self._store = store
         self._name = name
         self._timers = timers
+        self._epoch = StoreEpoch()
 
     async def read_table(self, table: str) -> Changes:
         """Returns all rows of a table."""
         await self._begin_call()
+        self._epoch.note(self._store.epoch)
         return self._store.snapshot(table)
 
     async def watch(self, table: str, *, after: int, wait_s: float) -> Changes:
@@ -166,10 +221,13 @@
 
         Returns no changes if there are none within ``wait_s`` seconds.
         """
+        self._epoch.check_watch(after)
         await self._begin_call()
         until = self._timers.now() + wait_s
         while True:
-            changes = self._store.since(table, after)
+            self._epoch.note(self._store.epoch)
+            self._epoch.check_watched(after, answered_in=self._store.epoch)
+            changes = self._store.since(table, number_of(after))
             remaining_s = until - self._timers.now()
             if changes.rows or remaining_s <= 0:
                 break
@@ -188,18 +246,23 @@
     async def _change(
         self, table: str, key: str, body: bytes | None, expected: int
     ) -> int:
+        self._epoch.check_expected(expected)
         await self._begin_call()
         faults = self._store.faults
         if faults.lose_answers:
             faults.lose_answers -= 1
             await self._timers.sleep(faults.late_s)
             try:
-                self._store.check(table, key, expected)
-                self._store.write(table, key, body)
+                self._store.check(table, key, number_of(expected))
+                self._store.commit(table, key, body)
             finally:
                 await self._time_out()
-        self._store.check(table, key, expected)
-        return self._store.write(table, key, body)
+        epoch = self._store.epoch
+        self._epoch.note(epoch)
+        self._store.check(table, key, number_of(expected))
+        version = self._store.commit(table, key, body)
+        self._epoch.check_written(expected, answered_in=epoch)
+        return make_version(epoch, version)
 
     async def _begin_call(self) -> None:
         self._store.calls += 1
--- a/src/heatherpier/bench/_simulated_deployment.py
+++ b/src/heatherpier/bench/_simulated_deployment.py
@@ -269,6 +269,26 @@
             for instance in group.instances.values():
                 instance.cut_from.discard(name)
 
+    async def restore_store(
+        self, *, back_s: float, away_s: float = 0.5, rewrite_s: float = 1.0
+    ) -> None:
+        """Makes the store unavailable, then restores it from an older backup.
+
+        Args:
+            back_s: Age of the backup when the store stops answering, in seconds.
+            away_s: Time in seconds for which the store does not answer.
+            rewrite_s: Time in seconds after which the operator and the instances have
+                written their rows again.
+        """
+        faults = self.store.faults
+        down = set(self.names) - faults.unresponsive_to
+        faults.unresponsive_to |= down
+        await self.timers.sleep(away_s)
+        self.store.restore(back_s=back_s + away_s)
+        faults.unresponsive_to -= down
+        await self.timers.sleep(rewrite_s)
+        self.store.rewrite_external()
+
     def open(self, database: str, *, proxy: str = "proxy-0") -> CallerSession:
         """Opens a session through a proxy, which has to accept it."""
         session = self.engines[proxy].open_session(database)
--- a/src/heatherpier/discovery/_registry.py
+++ b/src/heatherpier/discovery/_registry.py
@@ -58,6 +58,14 @@
         known = self._records.get(name)
         if known == record:
             return
+        if known is not None and _is_older(record, known):
+            log.info(
+                "older entry of an instance ignored",
+                instance=name,
+                sequence=record.sequence,
+                known=known.sequence,
+            )
+            return
         self._records[name] = record
         if known is None or known.instance != record.instance:
             log.info(
@@ -102,3 +110,13 @@
     def _notify(self, record: InstanceRecord | None, name: str) -> None:
         for listener in self._listeners:
             listener(record, name)
+
+
+def _is_older(record: InstanceRecord, known: InstanceRecord) -> bool:
+    """Returns whether a record was written before another one of its incarnation.
+
+    A store that was restored from a backup shows such records until the instances have
+    written theirs again.
+    """
+    same_incarnation = record.started_ms == known.started_ms > 0
+    return same_incarnation and 0 < record.sequence < known.sequence
--- a/src/heatherpier/discovery/_types.py
+++ b/src/heatherpier/discovery/_types.py
@@ -16,12 +16,14 @@
         started_ms: Unix time in milliseconds of its start, or 0 if unknown. Another
             start under the same name is another incarnation, which has none of the
             earlier one's state.
+        sequence: Number of the entry within its incarnation, or 0 if unknown.
     """
 
     instance: Instance
     service: str
     claims_primary: bool
     started_ms: int = 0
+    sequence: int = 0
 
     @property
     def name(self) -> str:
--- a/src/heatherpier/leases/__init__.py
+++ b/src/heatherpier/leases/__init__.py
@@ -1,6 +1,7 @@
 """Leases on the primary of each service, and changes of primary."""
 
-from heatherpier.leases._changer import ChangeFailedError, PrimaryChanger
+from heatherpier.leases._changer import PrimaryChanger
+from heatherpier.leases._confirmations import Confirmations
 from heatherpier.leases._coordinators import ChangeCoordinators
 from heatherpier.leases._fence import PrimaryChange
 from heatherpier.leases._grants import Grants
@@ -14,12 +15,14 @@
     Promotions,
     ReplicationStatus,
 )
+from heatherpier.leases._leadership_rows import ChangeFailedError, LeadershipRows
 from heatherpier.leases._liveness import MemberLiveness
 from heatherpier.leases._messages import LEASE_MESSAGES
 from heatherpier.leases._peers import PeerLinks
 from heatherpier.leases._primary_leases import LEASE_S, Lease, NoLease, PrimaryLeases
 from heatherpier.leases._records import (
     Changing,
+    Confirming,
     Leadership,
     LeadershipRecord,
     Led,
@@ -50,6 +53,9 @@
     "ChangeFailedError",
     "PrimaryChange",
     "Changing",
+    "Confirming",
+    "Confirmations",
+    "LeadershipRows",
     "ControlError",
     "PeerTableSync",
     "PeerTableFallback",
--- a/src/heatherpier/leases/_changer.py
+++ b/src/heatherpier/leases/_changer.py
@@ -14,23 +14,17 @@
     Promotions,
     ReplicationStatus,
 )
+from heatherpier.leases._leadership_rows import ChangeFailedError, LeadershipRows
 from heatherpier.leases._peers import PeerLinks
 from heatherpier.leases._records import (
+    UNKNOWN_TERM,
     Changing,
-    Leadership,
     LeadershipRecord,
     Led,
-    encode_leadership,
 )
 from heatherpier.leases._releases import LeaseReleases
-from heatherpier.leases._view import FLEET_TABLE, LEADER_PREFIX, FleetView
-from heatherpier.tables import (
-    ChangeConflictError,
-    Row,
-    RowStore,
-    StoreError,
-    StoreUnavailableError,
-)
+from heatherpier.leases._view import FleetView
+from heatherpier.tables import ChangeConflictError
 from heatherpier.telemetry import get_logger
 from heatherpier.timers import Timers
 
@@ -51,13 +45,6 @@
 PROMOTION_RETRY_S = 0.1
 # A requested promotion takes effect within some hundred ms, up to a second.
 PROMOTION_EFFECT_TIMEOUT_S = 2.5
-# Longest wait for an unanswered write to show in the view.
-READ_BACK_TIMEOUT_S = 1.5
-
-
-class ChangeFailedError(Exception):
-    """A change of primary was not completed; another coordinator can take it over."""
-
 
 # Whether an instance is not leaving, its position, and its name: the maximum is the
 # preferred successor.
@@ -69,7 +56,7 @@
 
     Args:
         me: Name of this proxy.
-        store: The store.
+        rows: Writes leadership rows.
         view: Members and leaders.
         links: The other proxies.
         releases: Ends the use of old primaries, here and at peers.
@@ -86,7 +73,7 @@
         self,
         me: str,
         *,
-        store: RowStore,
+        rows: LeadershipRows,
         view: FleetView,
         links: PeerLinks,
         releases: LeaseReleases,
@@ -98,7 +85,7 @@
         timers: Timers,
     ) -> None:
         self._me = me
-        self._store = store
+        self._rows = rows
         self._view = view
         self._links = links
         self._releases = releases
@@ -132,19 +119,19 @@
             version=change.expected,
         )
         state = Changing(
-            previous=change.previous, holder=self._me, planned=change.planned
-        )
-        record = await self._write_leadership(
-            change.service, state, expected=change.expected
+            previous=change.previous,
+            holder=self._me,
+            planned=change.planned,
+            epoch=self._view.copy.epoch,
+            term=change.term,
         )
+        record = await self._rows.write(change.service, state, expected=change.expected)
         began = self._timers.elapsed()
         try:
             async with self._timers.timeout(CHANGE_TIMEOUT_S):
                 target, status = await self._replace(change, record, began=began)
-                led = Led(instance=target.name, term=status.term)
-                await self._write_leadership(
-                    change.service, led, expected=record.version
-                )
+                led = Led(instance=target.name, term=status.term, epoch=state.epoch)
+                await self._rows.write(change.service, led, expected=record.version)
         except TimeoutError as exc:
             raise ChangeFailedError(
                 f"change of primary not completed within {CHANGE_TIMEOUT_S:.0f} s"
@@ -275,7 +262,7 @@
                     instance=target.name,
                     reason=str(exc),
                 )
-            status = await self._wait_for_promotion(target, above=term)
+            status = await self._wait_for_promotion(change, target, above=term)
             if status is not None:
                 return target, status
             excluded.add(target.name)
@@ -293,11 +280,10 @@
             raise ChangeFailedError(
                 "view of the fleet too old to confirm the coordinator of the change"
             )
-        current = self._view.leaders.get(change.service)
-        if current is not None and current.version > record.version:
+        current = self._view.leadership_version(change.service)
+        if current != record.version:
             raise ChangeConflictError(
-                f"leadership of {change.service} has changed, "
-                f"version {current.version}: {current.state}"
+                f"leadership of {change.service} has changed, version {current}"
             )
 
     async def _choose_successor(
@@ -369,9 +355,15 @@
         return min_position is None or self._timers.now() >= until
 
     async def _wait_for_promotion(
-        self, target: InstanceRecord, *, above: int
+        self, change: PrimaryChange, target: InstanceRecord, *, above: int
     ) -> ReplicationStatus | None:
-        """Returns the status of an instance once it leads a term above, or None."""
+        """Returns the status of an instance once it leads a newer term, or None.
+
+        An earlier coordinator of the same change may have had the instance promoted
+        before it was asked for its term. So any term above the old primary's will do.
+        """
+        if change.term != UNKNOWN_TERM:
+            above = min(above, change.term)
         until = self._timers.now() + PROMOTION_EFFECT_TIMEOUT_S
         while self._timers.now() < until:
             status = await self._fetch_status(target)
@@ -380,54 +372,3 @@
             await self._timers.sleep(POLL_PERIOD_S)
         log.info("promotion took no effect in time", instance=target.name)
         return None
-
-    async def _write_leadership(
-        self, service: str, state: Leadership, *, expected: int
-    ) -> LeadershipRecord:
-        """Writes the leadership row of a service.
-
-        Raises:
-            ChangeConflictError: The row does not have the expected version.
-            ChangeFailedError: The store rejected the write, or its outcome is unknown
-                and could not be read back.
-        """
-        key = LEADER_PREFIX + service
-        body = encode_leadership(state)
-        try:
-            version = await self._store.put(FLEET_TABLE, key, body, expected=expected)
-        except StoreUnavailableError as exc:
-            log.info(
-                "leadership write failed, outcome unknown",
-                service=service,
-                reason=str(exc),
-            )
-            return await self._read_back_leadership(service, state, expected=expected)
-        except ChangeConflictError:
-            raise
-        except StoreError as exc:
-            raise ChangeFailedError(str(exc)) from exc
-        self._view.copy.apply_row(Row(key=key, version=version, body=body))
-        return LeadershipRecord(state=state, version=version)
-
-    async def _read_back_leadership(
-        self, service: str, state: Leadership, *, expected: int
-    ) -> LeadershipRecord:
-        """Waits until the view shows whether an unanswered write took effect.
-
-        Raises:
-            ChangeConflictError: Another state was written.
-            ChangeFailedError: The view shows no new version in time.
-        """
-        until = self._timers.now() + READ_BACK_TIMEOUT_S
-        while self._timers.now() < until:
-            record = self._view.leaders.get(service)
-            if record is not None and record.version > expected:
-                if record.state == state:
-                    return record
-                raise ChangeConflictError(
-                    f"leadership of {service} has changed: {record.state}"
-                )
-            await self._timers.sleep(POLL_PERIOD_S)
-        raise ChangeFailedError(
-            f"outcome of the leadership write for {service} is unknown"
-        )
--- a/src/heatherpier/leases/_fence.py
+++ b/src/heatherpier/leases/_fence.py
@@ -1,7 +1,7 @@
 """Fencing of an old primary: waits until no proxy may use it any more."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable
 from dataclasses import dataclass
 
 from heatherpier.discovery import InstanceRecord
@@ -10,9 +10,10 @@
 from heatherpier.leases._interface import ControlError, InstanceControl
 from heatherpier.leases._peers import PeerLinks
 from heatherpier.leases._primary_leases import LEASE_S
-from heatherpier.leases._records import LeadershipRecord
+from heatherpier.leases._records import UNKNOWN_TERM, LeadershipRecord
 from heatherpier.leases._releases import LeaseReleases, ReleaseResult
 from heatherpier.leases._view import FleetView
+from heatherpier.tables import ChangeConflictError
 from heatherpier.telemetry import get_logger
 from heatherpier.timers import Timers
 
@@ -46,6 +47,8 @@
         takeover: Whether the change takes over an earlier one, whose coordinator may
             still be carrying it out.
         confirmed: Whether the voters were asked and confirm that the primary is lost.
+        term: Term of the old primary, 0 if the service began with it, or
+            `UNKNOWN_TERM`.
     """
 
     service: str
@@ -56,6 +59,7 @@
     record: InstanceRecord | None
     takeover: bool = False
     confirmed: bool = False
+    term: int = UNKNOWN_TERM
 
 
 class Fence:
@@ -95,17 +99,22 @@
     async def complete(self, *, term: int, began: float) -> None:
         """Returns once the old primary can no longer be used.
 
-        Each of three conditions is enough:
+        Each of two conditions is enough:
 
         - Every member has released the old primary, or its process has ended.
-        - The old primary reports that it is a replica. This is tried only if the
-          change is not planned.
         - All leases on the old primary have expired.
 
+        Unless the change is planned, the old primary is demoted meanwhile, so that it
+        rejects writes. That does not end the wait: a proxy that is cut off still reads
+        from it under its lease, and a replica answers reads.
+
         Args:
             term: Highest term that an instance has reported.
             began: Time by `Timers.elapsed` at which the store is known to hold the
                 leadership row of the change.
+
+        Raises:
+            ChangeConflictError: The view shows another leadership row.
         """
         conditions: dict[asyncio.Task[None], str] = {}
 
@@ -114,9 +123,8 @@
 
         start(self._wait_for_releases(), "all released")
         start(self._wait_for_expiry(began), "leases expired")
-        if not self._change.planned:
-            # Demotion makes a healthy primary reject the work that still drains on it.
-            start(self._wait_for_demotion(term), "demoted")
+        start(self._watch_for_other_row(), "superseded")
+        demotion = asyncio.ensure_future(self._demote_unless_planned(term))
         try:
             done, _ = await asyncio.wait(
                 conditions, return_when=asyncio.FIRST_COMPLETED
@@ -124,7 +132,7 @@
             for task in done:
                 task.result()
         finally:
-            for task in conditions:
+            for task in (*conditions, demotion):
                 task.cancel()
         log.info(
             "old primary fenced",
@@ -153,6 +161,26 @@
         # expired before; for ended peers, `_release_at` demands a release quorum.
         removed_at = self._view.history.last_removal()
         await self._sleep_until(removed_at + LEASE_S * (1 + MAX_CLOCK_DRIFT))
+        await self._sleep_until(self._lost_members_end())
+
+    def _lost_members_end(self) -> float:
+        """Returns when leases of members whose rows a restore discarded have expired.
+
+        Such members are unknown here and may grant leases to each other, on views from
+        before the restore. It is in the past if the store was never restored.
+        """
+        longest_s = (GRANT_MAX_STALENESS_S + GRANT_S) * (1 + MAX_CLOCK_DRIFT)
+        return self._view.copy.epoch_since + longest_s
+
+    async def _watch_for_other_row(self) -> None:
+        """Ends the fence with an error once the view shows another leadership row."""
+        service = self._change.service
+        while self._view.leadership_version(service) == self._record.version:
+            await self._timers.sleep(RETRY_PAUSE_S)
+        raise ChangeConflictError(
+            f"leadership of {service} has changed, "
+            f"version {self._view.leadership_version(service)}"
+        )
 
     async def _release_at(self, peer: Peer, drain_s: float) -> None:
         service = self._change.service
@@ -167,12 +195,10 @@
                 return
             await self._timers.sleep(RETRY_PAUSE_S)
 
-    async def _wait_for_demotion(self, term: int) -> None:
-        """Returns when the old primary reports that it is a replica.
-
-        A replica rejects the writes of every proxy, whatever lease they rely on.
-        """
-        await self._retry_until_true(lambda: self._demote(term))
+    async def _demote_unless_planned(self, term: int) -> None:
+        """Makes the old primary a replica, which rejects the writes of every proxy."""
+        while not self._change.planned and not await self._demote(term):
+            await self._timers.sleep(RETRY_PAUSE_S)
 
     async def _demote(self, term: int) -> bool:
         record = self._change.record
@@ -207,6 +233,7 @@
         grants_end = began + (GRANT_MAX_STALENESS_S + GRANT_S) * (1 + MAX_CLOCK_DRIFT)
         while self._timers.elapsed() < grants_end and not self._has_release_quorum():
             await self._timers.sleep(RETRY_PAUSE_S)
+        await self._sleep_until(self._lost_members_end())
 
     def _has_release_quorum(self) -> bool:
         """Returns whether too few voters are left to grant any proxy a lease.
@@ -225,9 +252,5 @@
             len(released & names) >= release_quorum(len(names)) for names in voter_sets
         )
 
-    async def _retry_until_true(self, action: Callable[[], Awaitable[bool]]) -> None:
-        while not await action():
-            await self._timers.sleep(RETRY_PAUSE_S)
-
     async def _sleep_until(self, deadline: float) -> None:
         await self._timers.sleep(max(deadline - self._timers.elapsed(), 0))
--- a/src/heatherpier/leases/_messages.py
+++ b/src/heatherpier/leases/_messages.py
@@ -88,6 +88,37 @@
     answers: bool
 
 
+class ConfirmRequest(Message, frozen=True, kw_only=True, tag="confirm"):
+    """Asks a voter whether it knows of a change since a restored leadership row.
+
+    Attributes:
+        service: Name of the service.
+        epoch: Epoch of the store in which the primary is to be confirmed.
+        version: Version of the present leadership row, which does not count; 0 if there
+            is none.
+        previous: Version of the leadership row before the restore; 0 if there was none,
+            and -1 if only the peer's term is asked for.
+    """
+
+    service: str
+    epoch: int
+    version: int
+    previous: int
+
+
+class ConfirmAnswer(Message, frozen=True, kw_only=True, tag="confirmed"):
+    """Answers a `ConfirmRequest`.
+
+    Attributes:
+        agrees: Whether the voter saw the same leadership row before the restore and
+            releases its primary for no change up to the present row any more.
+        term: Term of the primary that the peer knew before the restore, or 0.
+    """
+
+    agrees: bool
+    term: int = 0
+
+
 class CopyRequest(Message, frozen=True, kw_only=True, tag="copy"):
     """Asks a peer for rows of tables that are newer than the sender's.
 
@@ -154,6 +185,8 @@
     Released,
     ChangeRequest,
     ChangeAnswer,
+    ConfirmRequest,
+    ConfirmAnswer,
     ReachRequest,
     ReachAnswer,
     CopyRequest,
--- a/src/heatherpier/leases/_primary_leases.py
+++ b/src/heatherpier/leases/_primary_leases.py
@@ -5,7 +5,7 @@
 
 from heatherpier.discovery import InstanceRegistry
 from heatherpier.leases._grants import Grants
-from heatherpier.leases._records import Changing, LeadershipRecord
+from heatherpier.leases._records import Changing, Led
 from heatherpier.leases._view import FleetView
 from heatherpier.telemetry import get_logger
 from heatherpier.timers import Timers
@@ -53,8 +53,8 @@
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class _DrainingLease:
-    """A lease that a change of primary ends, and that is not yet released.
+class _BoundedLease:
+    """A lease that is not renewed any more.
 
     Attributes:
         lease: The lease.
@@ -73,6 +73,10 @@
     voters grants it. When a change of primary becomes known, the lease admits no new
     work, but in-flight work may finish until the lease is released or expires.
 
+    After a restore of the store, a lease from before it remains usable until it
+    expires, since each change of primary of the epoch before had to wait for that too.
+    It ends earlier when a row of the new epoch says who leads.
+
     Args:
         me: Name of this proxy.
         view: Members and leaders.
@@ -98,8 +102,10 @@
         self._began = timers.elapsed()
         self._registered = 0
         self._changed: dict[str, asyncio.Event] = {}
-        self._draining: dict[str, _DrainingLease] = {}
+        self._draining: dict[str, _BoundedLease] = {}
+        self._before_restore: dict[str, _BoundedLease] = {}
         view.subscribe(self._before_change)
+        view.copy.subscribe_to_epochs(self._keep_leases)
 
     def note_registered(self, version: int) -> None:
         """Records the version of this proxy's own member row.
@@ -114,6 +120,21 @@
 
     def lease(self, service: str) -> Lease | NoLease:
         """Returns the lease on the primary of a service, or why there is none."""
+        if self._view.needs_confirmation(service):
+            return self._lease_before_restore(service)
+        return self._present_lease(service)
+
+    def _lease_before_restore(self, service: str) -> Lease | NoLease:
+        kept = self._before_restore.get(service)
+        if kept is not None and self._timers.elapsed() < kept.expires_at:
+            return kept.lease
+        return NoLease(
+            reason="the store was restored and no voter has confirmed the primary, "
+            f"epoch {self._view.copy.epoch}",
+            changing=True,
+        )
+
+    def _present_lease(self, service: str) -> Lease | NoLease:
         member = self._view.members.get(self._me)
         if member is None or member.version != self._registered:
             return NoLease(reason="this proxy is not registered", changing=False)
@@ -122,7 +143,21 @@
             return NoLease(
                 reason=f"the view of the fleet is {age_s:.1f} s old", changing=False
             )
-        return self._lease_of(service, self._view.leaders.get(service))
+        record = self._view.leaders.get(service)
+        if record is None:
+            return self._initial_lease(service)
+        match record.state:
+            case Led(instance=instance):
+                return Lease(service=service, instance=instance, version=record.version)
+            case Changing() as state:
+                return NoLease(
+                    reason=f"{state.holder} replaces {state.previous}, "
+                    f"version {record.version}",
+                    changing=True,
+                    planned=state.planned,
+                )
+            case state:
+                raise AssertionError(f"{state} needs a confirmation")
 
     def _expires_at(self) -> float:
         """Returns when all leases expire, by `Timers.elapsed`, unless they are renewed.
@@ -137,21 +172,6 @@
             return granted
         return max(as_of + LEASE_S, granted)
 
-    def _lease_of(
-        self, service: str, record: LeadershipRecord | None
-    ) -> Lease | NoLease:
-        if record is None:
-            return self._initial_lease(service)
-        state = record.state
-        if isinstance(state, Changing):
-            return NoLease(
-                reason=f"{state.holder} replaces {state.previous}, "
-                f"version {record.version}",
-                changing=True,
-                planned=state.planned,
-            )
-        return Lease(service=service, instance=state.instance, version=record.version)
-
     def _initial_lease(self, service: str) -> Lease | NoLease:
         """Returns the lease for a service without a leadership row.
 
@@ -192,6 +212,7 @@
 
         From then on no answer to work under that lease counts.
         """
+        self._before_restore.pop(service, None)
         draining = self._draining.pop(service, None)
         if draining is not None:
             log.info(
@@ -206,15 +227,43 @@
 
         The view calls this before it applies the row, so the lease is still known.
         """
-        lease = self.lease(service)
-        if isinstance(lease, Lease):
-            self._draining[service] = _DrainingLease(
-                lease=lease, expires_at=self._expires_at()
-            )
+        bounded = self._bounded_lease(service)
+        if bounded is not None:
+            self._draining[service] = bounded
         event = self._changed.pop(service, None)
         if event is not None:
             event.set()
 
+    def _bounded_lease(self, service: str) -> _BoundedLease | None:
+        """Returns the present lease with its expiry, or None if there is none."""
+        lease = self.lease(service)
+        kept = self._before_restore.get(service)
+        if kept is not None and (isinstance(lease, NoLease) or lease == kept.lease):
+            # While the rows of a new epoch are applied, this proxy's own row may not
+            # have been confirmed yet, so there seems to be no lease.
+            return kept
+        if isinstance(lease, NoLease):
+            return None
+        return _BoundedLease(lease=lease, expires_at=self._expires_at())
+
+    def _keep_leases(self) -> None:
+        """Keeps the present leases when a restore of the store becomes known.
+
+        It is called before the view shows rows of the new epoch. A lease that an
+        earlier restore has left keeps its expiry.
+        """
+        services = {item.service for item in self._registry.all()}
+        for service in services | self._view.leaders.keys():
+            if self._view.needs_confirmation(service):
+                continue
+            lease = self.lease(service)
+            if isinstance(lease, Lease):
+                self._before_restore[service] = _BoundedLease(
+                    lease=lease, expires_at=self._expires_at()
+                )
+            else:
+                self._before_restore.pop(service, None)
+
     async def wait_for_change(self, service: str, *, until: float) -> None:
         """Waits until the leadership of a service changes, but not beyond ``until``.
 
--- a/src/heatherpier/leases/_records.py
+++ b/src/heatherpier/leases/_records.py
@@ -5,21 +5,41 @@
 import msgspec
 
 from heatherpier.fleet import Peer
+from heatherpier.tables import epoch_of
 
+# Stands for a term that the writer of a row did not know.
+UNKNOWN_TERM = -1
 
-class Led(msgspec.Struct, frozen=True, kw_only=True, tag="led"):
+
+class Led(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True, tag="led"):
     """State of a service that has a primary.
 
     Attributes:
         instance: Name of the primary.
         term: Term of the primary.
+        epoch: Epoch of the store in which the row was written.
     """
 
     instance: str
     term: int
+    epoch: int = 0
+
+
+class Confirming(msgspec.Struct, frozen=True, kw_only=True, tag="confirming"):
+    """State of a service whose primary is being confirmed after a restore of the store.
+
+    Attributes:
+        holder: Name of the member that confirms it.
+        epoch: Epoch of the store in which the row was written.
+    """
+
+    holder: str
+    epoch: int
 
 
-class Changing(msgspec.Struct, frozen=True, kw_only=True, tag="changing"):
+class Changing(
+    msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True, tag="changing"
+):
     """State of a service whose primary is being replaced.
 
     No new work may begin on the old primary.
@@ -28,14 +48,19 @@
         previous: Name of the old primary.
         holder: Name of the member that coordinates the change.
         planned: Whether the old primary is healthy and only leaves.
+        epoch: Epoch of the store in which the row was written.
+        term: Term of the old primary, 0 if the service began with it, or
+            `UNKNOWN_TERM`.
     """
 
     previous: str
     holder: str
     planned: bool
+    epoch: int = 0
+    term: int = UNKNOWN_TERM
 
 
-Leadership = Led | Changing
+Leadership = Led | Confirming | Changing
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -51,6 +76,15 @@
     state: Leadership
     version: int
 
+    @property
+    def counts(self) -> bool:
+        """Whether the row was written in the epoch of the store that it is read in.
+
+        A row that a restore brought back may lack later changes, and a late write from
+        before the restore may have taken effect after it. Neither says who leads.
+        """
+        return self.state.epoch == epoch_of(self.version)
+
 
 class _Member(msgspec.Struct, frozen=True, kw_only=True):
     host: str
--- a/src/heatherpier/leases/_registration.py
+++ b/src/heatherpier/leases/_registration.py
@@ -9,6 +9,7 @@
 from heatherpier.limits import Backoff
 from heatherpier.tables import (
     ChangeConflictError,
+    Row,
     RowStore,
     StoreError,
 )
@@ -46,6 +47,7 @@
         self._leases = leases
         self._timers = timers
         self._backoff = Backoff(rng=rng)
+        view.copy.subscribe(self._note_own_row)
 
     async def run(self) -> None:
         """Registers this proxy whenever its row is missing, until cancelled."""
@@ -63,11 +65,22 @@
                 log.info("registration failed", reason=str(exc), failures=failures)
             await self._timers.sleep(self._backoff.delay_s(max(failures, 5)))
 
-    async def _register(self) -> None:
+    def _note_own_row(self, row: Row) -> None:
+        """Adopts the version that this proxy's row has after a restore of the store."""
+        if row.key == MEMBER_PREFIX + self._me.name:
+            self._adopt_own_row()
+
+    def _adopt_own_row(self) -> bool:
         record = self._view.members.get(self._me.name)
-        if record is not None and record.peer == self._me:
-            self._leases.note_registered(record.version)
+        if record is None or record.peer != self._me:
+            return False
+        self._leases.note_registered(record.version)
+        return True
+
+    async def _register(self) -> None:
+        if self._adopt_own_row():
             return
+        record = self._view.members.get(self._me.name)
         version = await self._store.put(
             FLEET_TABLE,
             MEMBER_PREFIX + self._me.name,
--- a/src/heatherpier/leases/_releases.py
+++ b/src/heatherpier/leases/_releases.py
@@ -59,8 +59,15 @@
         self._grants = grants
         self._in_flight = in_flight
         self._timers = timers
+        # Version up to which leadership rows are superseded, by service.
+        self._superseded: dict[str, int] = {}
         network.handle(ReleaseRequest, self._on_release)
 
+    def refuse_up_to(self, service: str, version: int) -> None:
+        """Confirms no release for a leadership row up to ``version`` any more."""
+        known = self._superseded.get(service, -1)
+        self._superseded[service] = max(known, version)
+
     async def release_here(self, service: str, *, drain_s: float) -> None:
         """Ends this proxy's use of a primary that is being replaced.
 
@@ -118,9 +125,17 @@
             Row(key=LEADER_PREFIX + req.service, version=req.version, body=req.body)
         )
         record = self._view.leaders.get(req.service)
-        if record is None or record.version < req.version:
-            # The row can't be decoded here, so the change is unknown to this proxy and
-            # no release may be confirmed.
+        superseded = self._superseded.get(req.service, -1)
+        if record is None or record.version != req.version or req.version <= superseded:
+            # The row can't be decoded here, or this proxy knows a newer one, under
+            # which it may hold a lease. Neither may be confirmed as a release.
+            log.info(
+                "release refused",
+                service=req.service,
+                peer=sender,
+                version=req.version,
+                known=self._view.leadership_version(req.service),
+            )
             return None
         await self.release_here(req.service, drain_s=req.drain_s)
         return Released(past=self._view.history.to_message())
--- a/src/heatherpier/leases/_table_sync.py
+++ b/src/heatherpier/leases/_table_sync.py
@@ -103,6 +103,12 @@
             as_of=read_at - table.age_s,
         )
         if table.version < copy.version:
+            # The peer may know a newer row although its copy is older: a peer that
+            # asked it to release a primary sent that row. A grant in the same answer
+            # must not be counted without it.
+            for row in changes.rows:
+                if row.version > copy.version:
+                    copy.apply_row(row)
             return
         if table.rows:
             log.info(
--- a/src/heatherpier/leases/_view.py
+++ b/src/heatherpier/leases/_view.py
@@ -8,7 +8,9 @@
 from heatherpier.fleet import Peer
 from heatherpier.leases._history import VoterHistory
 from heatherpier.leases._records import (
+    Confirming,
     LeadershipRecord,
+    Led,
     decode_leadership,
     decode_member,
 )
@@ -39,6 +41,40 @@
     version: int
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ViewBeforeRestore:
+    """The last view of the epoch before a restore of the store.
+
+    Attributes:
+        epoch: The epoch.
+        as_of: Time in seconds by `Timers.elapsed` at which the view was complete.
+        leaders: Leadership row by service.
+        voters: The voters.
+    """
+
+    epoch: int
+    as_of: float
+    leaders: dict[str, LeadershipRecord]
+    voters: tuple[Peer, ...]
+
+    def primary(self, service: str) -> Led | None:
+        """Returns who led a service, or None if that changed or was not recorded."""
+        record = self.leaders.get(service)
+        if record is None or not isinstance(record.state, Led):
+            return None
+        return record.state
+
+    def has_primary(self, service: str) -> bool:
+        """Returns whether a service had a primary that no change was replacing."""
+        never_changed = self.epoch == 0 and service not in self.leaders
+        return never_changed or self.primary(service) is not None
+
+    def version(self, service: str) -> int:
+        """Returns the version of a service's leadership row, or 0 if there was none."""
+        record = self.leaders.get(service)
+        return 0 if record is None else record.version
+
+
 class FleetView:
     """Members, voters and leaders in this proxy's copy of the fleet's table.
 
@@ -49,17 +85,25 @@
     Attributes:
         copy: Copy of the fleet's table.
         history: Past voter sets and removals.
-        leaders: Leadership row by service.
+        leaders: Leadership row by service, without rows that don't count in the
+            present epoch of the store.
+        unconfirmed: Version of the row that doesn't count, by service.
         members: Registered proxies by name.
+        before_restore: The last view of the previous epoch, or None if this process
+            has seen no other epoch.
     """
 
     def __init__(self, copy: TableCopy, *, timers: Timers) -> None:
         self.copy = copy
         self.history = VoterHistory(copy, timers=timers)
         self.leaders: dict[str, LeadershipRecord] = {}
+        self.unconfirmed: dict[str, int] = {}
         self.members: dict[str, MemberRecord] = {}
+        self.before_restore: ViewBeforeRestore | None = None
+        self._timers = timers
         self._listeners: list[Callable[[str], None]] = []
         copy.subscribe(self._apply)
+        copy.subscribe_to_epochs(self._keep_view)
 
     def subscribe(self, listener: Callable[[str], None]) -> None:
         """Registers a function to call with each service whose leadership changes.
@@ -68,6 +112,33 @@
         """
         self._listeners.append(listener)
 
+    def needs_confirmation(self, service: str) -> bool:
+        """Returns whether no row of the present epoch says who leads a service.
+
+        Before the first restore, a service without a row was never changed. After one,
+        its row may have been discarded.
+        """
+        record = self.leaders.get(service)
+        if record is None:
+            return self.copy.epoch > 0 or service in self.unconfirmed
+        return isinstance(record.state, Confirming)
+
+    def leadership_version(self, service: str) -> int:
+        """Returns the version of a service's leadership row, or 0 if there is none."""
+        record = self.leaders.get(service)
+        if record is not None:
+            return record.version
+        return self.unconfirmed.get(service, 0)
+
+    def _keep_view(self) -> None:
+        names = self.voters()
+        self.before_restore = ViewBeforeRestore(
+            epoch=self.copy.epoch,
+            as_of=self._timers.elapsed() - self.copy.age_s(),
+            leaders=dict(self.leaders),
+            voters=tuple(peer for peer in self.peers() if peer.name in names),
+        )
+
     def peers(self) -> list[Peer]:
         """Returns all registered proxies."""
         return [item.peer for item in self.members.values()]
@@ -111,6 +182,7 @@
     def _apply_leadership(self, service: str, row: Row) -> None:
         for listener in self._listeners:
             listener(service)
+        self.unconfirmed.pop(service, None)
         if row.body is None:
             self.leaders.pop(service, None)
             return
@@ -119,12 +191,18 @@
         except msgspec.MsgspecError as exc:
             _log_undecodable(row, exc)
             return
-        self.leaders[service] = LeadershipRecord(state=state, version=row.version)
+        record = LeadershipRecord(state=state, version=row.version)
+        if record.counts:
+            self.leaders[service] = record
+        else:
+            self.leaders.pop(service, None)
+            self.unconfirmed[service] = row.version
         log.info(
             "leadership row received",
             service=service,
             state=msgspec.to_builtins(state),
             version=row.version,
+            counts=record.counts,
         )
 
 
--- a/src/heatherpier/leases/_watcher.py
+++ b/src/heatherpier/leases/_watcher.py
@@ -9,11 +9,8 @@
     InstanceRecord,
     InstanceRegistry,
 )
-from heatherpier.leases._changer import (
-    CHANGE_TIMEOUT_S,
-    ChangeFailedError,
-    PrimaryChanger,
-)
+from heatherpier.leases._changer import CHANGE_TIMEOUT_S, PrimaryChanger
+from heatherpier.leases._confirmations import Confirmations
 from heatherpier.leases._coordinators import ChangeCoordinators
 from heatherpier.leases._fence import PrimaryChange
 from heatherpier.leases._grants import release_quorum
@@ -23,9 +20,10 @@
     InstanceControl,
     InstanceFullError,
 )
+from heatherpier.leases._leadership_rows import ChangeFailedError
 from heatherpier.leases._peers import PeerLinks
 from heatherpier.leases._primary_leases import LEASE_S
-from heatherpier.leases._records import Changing, LeadershipRecord
+from heatherpier.leases._records import Changing, Confirming, LeadershipRecord, Led
 from heatherpier.leases._view import FleetView
 from heatherpier.tables import ChangeConflictError
 from heatherpier.telemetry import get_logger
@@ -75,6 +73,7 @@
         prober: Probes instances by way of the voters.
         coordinators: Asks coordinators whether they still carry out their changes.
         changer: Replaces primaries.
+        confirmations: Confirms primaries after a restore of the store.
         instances_known_s: Returns for how long the list of instances has been up to
             date, in seconds; 0 if it is out of date.
         failing_since: Returns since when an instance has failed statements, as a
@@ -96,6 +95,7 @@
         prober: IndirectProber,
         coordinators: ChangeCoordinators,
         changer: PrimaryChanger,
+        confirmations: Confirmations,
         instances_known_s: Callable[[], float],
         failing_since: Callable[[str], float | None],
         note_answer: Callable[[str], None],
@@ -111,6 +111,7 @@
         self._prober = prober
         self._coordinators = coordinators
         self._changer = changer
+        self._confirmations = confirmations
         self._instances_known_s = instances_known_s
         self._failing_since = failing_since
         self._note_answer = note_answer
@@ -160,7 +161,7 @@
 
     async def _replace(self, change: PrimaryChange) -> None:
         await self._timers.sleep(self._rng.random() * MAX_JITTER_S)
-        if self._leadership_version() != change.expected:
+        if self._view.leadership_version(self._service) != change.expected:
             return
         try:
             await self._changer.change(change)
@@ -196,10 +197,6 @@
                 reaching=result.reaching,
             )
 
-    def _leadership_version(self) -> int:
-        record = self._view.leaders.get(self._service)
-        return 0 if record is None else record.version
-
     async def _find_due_change(self) -> PrimaryChange | None:
         """Returns the change that is due, or None.
 
@@ -210,6 +207,8 @@
         if self._view.copy.age_s() >= LEASE_S:
             # A change begins with a write to the store, which can't be reached now.
             return None
+        if self._view.needs_confirmation(self._service):
+            return await self._confirm()
         record = self._view.leaders.get(self._service)
         if record is not None and isinstance(record.state, Changing):
             return await self._find_due_takeover(record, record.state)
@@ -245,21 +244,14 @@
             expected=expected,
             record=self._primary_record,
             confirmed=confirmed,
+            term=_term_of(record),
         )
 
     async def _find_due_takeover(
         self, record: LeadershipRecord, state: Changing
     ) -> PrimaryChange | None:
         """Returns the takeover of a change that its coordinator does not finish."""
-        now = self._timers.elapsed()
-        if self._changing_seen[0] != record.version:
-            self._changing_seen = (record.version, now)
-        seen_s = now - self._changing_seen[1]
-        if seen_s < COORDINATOR_CHECK_S:
-            return None
-        if seen_s < TAKEOVER_S and not await self._coordinators.has_abandoned(
-            state.holder, self._service
-        ):
+        if not await self._is_abandoned(record, state.holder):
             return None
         return PrimaryChange(
             service=self._service,
@@ -269,8 +261,46 @@
             expected=record.version,
             record=self._registry.get(state.previous) or self._primary_record,
             takeover=True,
+            term=state.term,
         )
 
+    async def _is_abandoned(self, record: LeadershipRecord, holder: str) -> bool:
+        """Returns whether a coordinator no longer carries out what its row announces.
+
+        Args:
+            record: The leadership row.
+            holder: Name of the coordinator in the row.
+        """
+        now = self._timers.elapsed()
+        if self._changing_seen[0] != record.version:
+            self._changing_seen = (record.version, now)
+        seen_s = now - self._changing_seen[1]
+        if seen_s < COORDINATOR_CHECK_S:
+            return False
+        if seen_s >= TAKEOVER_S:
+            return True
+        return await self._coordinators.has_abandoned(holder, self._service)
+
+    async def _confirm(self) -> PrimaryChange | None:
+        """Confirms the primary after a restore; returns the change that is due then."""
+        record = self._view.leaders.get(self._service)
+        if (
+            record is not None
+            and isinstance(record.state, Confirming)
+            and not await self._is_abandoned(record, record.state.holder)
+        ):
+            return None
+        try:
+            return await self._confirmations.confirm(self._service)
+        except (ChangeConflictError, ChangeFailedError) as exc:
+            log.info(
+                "primary not confirmed by this proxy",
+                service=self._service,
+                reason=str(exc),
+            )
+            await self._timers.sleep(FAILED_BACKOFF_S)
+            return None
+
     def _find_primary(self, record: LeadershipRecord | None) -> str | None:
         """Returns the name of the primary, or None if it is changing or not known.
 
@@ -278,7 +308,7 @@
         last known one while there is not exactly one.
         """
         if record is not None:
-            if isinstance(record.state, Changing):
+            if not isinstance(record.state, Led):
                 return None
             self._primary = record.state.instance
             return self._primary
@@ -360,3 +390,10 @@
             log.info("primary no longer leads", instance=entry.name)
             return False
         return True
+
+
+def _term_of(record: LeadershipRecord | None) -> int:
+    """Returns the term of a primary; 0 if its service began with it."""
+    if record is None or not isinstance(record.state, Led):
+        return 0
+    return record.state.term
--- a/src/heatherpier/leases/tests/test_random_faults.py
+++ b/src/heatherpier/leases/tests/test_random_faults.py
@@ -19,13 +19,19 @@
 )
 from heatherpier.bench._fault_injector import FaultInjector
 from heatherpier.bench._simulated_deployment import MAX_AGE_S
+from heatherpier.bench._simulated_group import SimulatedGroupControl
+from heatherpier.leases import FleetView, LeadershipRecord
 from heatherpier.leases._fence import Fence
 from heatherpier.serving import PositionHistory
 from heatherpier.statements import Done
+from heatherpier.tables import number_of
 
 SEEDS = range(8)
+RESTORE_SEEDS = range(100, 110)
 FAULTS_S = 30.0
 MAX_FAULT_S = 7.0
+# Restores are drawn this many times as often as another kind of fault.
+RESTORE_WEIGHT = 3
 # Mean time from the start of one fault to the start of the next.
 FAULT_INTERVAL_S = 2.5
 CALL_PAUSE_S = 0.1
@@ -108,8 +114,14 @@
         self.deployment.fleet.start(name)
 
 
-async def inject_faults(deployment, seed):
-    """Injects random faults of all kinds, and ends them all."""
+async def inject_faults(deployment, seed, *, restores):
+    """Injects random faults of all kinds, and ends them all.
+
+    Args:
+        deployment: The deployment.
+        seed: Seed of the faults.
+        restores: Whether the store also comes back from older backups.
+    """
     rng = random.Random(seed)
     group = deployment.groups["claims"]
     faults = FaultInjector(
@@ -135,6 +147,8 @@
         faults.drop_store_history,
         *ProxyFaults(deployment, rng).kinds(),
     ]
+    if restores:
+        kinds += [faults.restore_store, faults.restore_before_change] * RESTORE_WEIGHT
     await faults.inject(
         kinds, duration_s=FAULTS_S, max_fault_s=MAX_FAULT_S, interval_s=FAULT_INTERVAL_S
     )
@@ -144,7 +158,7 @@
         instance.unresponsive = False
 
 
-async def run_seed(timers, seed):
+async def run_seed(timers, seed, *, restores=False):
     """Returns the group, the history of the calls, and the end of the faults."""
     history = CallHistory()
     async with SimulatedDeployment(timers=timers, seed=seed) as deployment:
@@ -153,7 +167,7 @@
             asyncio.create_task(generate_load(deployment, name, history, stop))
             for name in deployment.names
         ]
-        await inject_faults(deployment, seed)
+        await inject_faults(deployment, seed, restores=restores)
         ended_at = timers.now()
         await timers.sleep(RECOVERY_S)
         stop.set()
@@ -161,9 +175,7 @@
         return deployment.groups["claims"], history, ended_at
 
 
-@pytest.mark.parametrize("seed", SEEDS)
-async def test_guarantees_hold_under_random_faults(timers, seed):
-    group, history, ended_at = await run_seed(timers, seed)
+def check_guarantees(group, history, ended_at):
     assert find_old_commits(group, history) == []
     assert find_stale_reads(group, history) == []
     tokens = [token for _, token in group.promotions]
@@ -171,6 +183,41 @@
     assert any(began > ended_at for began, _, _ in history.writes)
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+async def test_guarantees_hold_under_random_faults(timers, seed):
+    check_guarantees(*await run_seed(timers, seed))
+
+
+@pytest.mark.parametrize("seed", RESTORE_SEEDS)
+async def test_guarantees_hold_when_the_store_is_restored_as_well(timers, seed):
+    check_guarantees(*await run_seed(timers, seed, restores=True))
+
+
+async def test_counting_rows_of_an_earlier_epoch_is_detected(timers, monkeypatch):
+    monkeypatch.setattr(LeadershipRecord, "counts", property(lambda self: True))
+    monkeypatch.setattr(FleetView, "needs_confirmation", lambda self, service: False)
+    for seed in RESTORE_SEEDS:
+        group, history, _ = await run_seed(timers, seed, restores=True)
+        if find_old_commits(group, history) or find_stale_reads(group, history):
+            return
+    pytest.fail("no seed detected the fault")
+
+
+async def test_tokens_that_repeat_after_a_restore_are_detected(timers, monkeypatch):
+    promote = SimulatedGroupControl.promote
+
+    async def promote_without_epoch(self, service, instance, *, holder, token):
+        await promote(self, service, instance, holder=holder, token=number_of(token))
+
+    monkeypatch.setattr(SimulatedGroupControl, "promote", promote_without_epoch)
+    for seed in RESTORE_SEEDS:
+        group, _, _ = await run_seed(timers, seed, restores=True)
+        tokens = [token for _, token in group.promotions]
+        if tokens != sorted(tokens):
+            return
+    pytest.fail("no seed detected the fault")
+
+
 async def test_a_change_without_fencing_is_detected(timers, monkeypatch):
     async def return_at_once(self, *, term, began):
         return
--- /dev/null
+++ b/src/heatherpier/leases/tests/test_stale_grants_and_reads.py
@@ -0,0 +1,114 @@
+"""Reads and grants of proxies that have not heard of a change of primary."""
+
+import asyncio
+
+import pytest
+
+from heatherpier.bench import ask
+from heatherpier.fleet import Peer
+from heatherpier.leases import Changing, FleetView, Grants, PeerTableSync
+from heatherpier.leases._messages import CopyAnswer, TableAnswer
+from heatherpier.leases._records import encode_leadership, encode_member
+from heatherpier.statements import Done
+from heatherpier.tables import Changes, Row, TableCopy
+
+REPLICA_LAG_S = 1.0
+
+
+async def read_exactly(deployment, name, seen, until):
+    """Reads through one proxy; records the start and the position of each answer."""
+    while deployment.timers.now() < until:
+        began = deployment.timers.now()
+        reply = await ask(deployment.open("claims-exact", proxy=name), "READ claim")
+        if isinstance(reply.outcome, Done):
+            seen.append((began, reply.position))
+        await deployment.timers.sleep(0.05)
+
+
+async def write_in_second_term(deployment, name):
+    """Writes until the second term acknowledges it; returns the time and position."""
+    while True:
+        reply = await ask(deployment.open("claims-exact", proxy=name), "WRITE claim")
+        if isinstance(reply.outcome, Done) and reply.position.term > 1:
+            return deployment.timers.now(), reply.position
+        await deployment.timers.sleep(0.02)
+
+
+async def test_a_demoted_primary_is_not_read_by_a_proxy_that_is_cut_off(
+    deployment, timers
+):
+    # The others can't reach the primary and replace it. It can be reached again once
+    # the change is announced, so they demote it. The proxy that is cut off from the
+    # store and its peers still holds its lease and reaches the demoted instance.
+    group = deployment.groups["claims"]
+    old = group.primary()
+    for instance in group.instances.values():
+        instance.lag_s = REPLICA_LAG_S
+    assert isinstance(
+        (await ask(deployment.open("claims-exact"), "WRITE claim")).outcome, Done
+    )
+    deployment.isolate("proxy-3", instances=False)
+    old.cut_from |= {"proxy-0", "proxy-1", "proxy-2"}
+    seen = []
+    reads = asyncio.create_task(
+        read_exactly(deployment, "proxy-3", seen, timers.now() + 6.0)
+    )
+    writes = [
+        asyncio.create_task(write_in_second_term(deployment, name))
+        for name in ("proxy-0", "proxy-1", "proxy-2")
+    ]
+    while deployment.store.row("fleet", "leader/claims") is None:
+        await timers.sleep(0.01)
+    old.cut_from.clear()
+    at, position = min(await asyncio.gather(*writes))
+    await reads
+    assert [item for item in seen if item[0] > at and item[1] < position] == []
+
+
+@pytest.fixture
+def view(timers):
+    return FleetView(TableCopy("fleet", timers=timers), timers=timers)
+
+
+class AnsweringNetwork:
+    """Answers each request with the same message."""
+
+    def __init__(self, answer):
+        self.answer = answer
+
+    def handle(self, kind, handler):
+        pass
+
+    async def request(self, peer, message, *, timeout_s):
+        return self.answer
+
+
+async def test_a_grant_is_not_counted_without_the_change_that_its_voter_knows(
+    timers, view
+):
+    # The voter learned of the change from a release request, so its copy as a whole is
+    # older than that of the proxy that asks.
+    me, peer = (
+        Peer(name=name, host=name, port=1, data_centre="north") for name in ("a", "b")
+    )
+    rows = (
+        Row(key="member/a", version=1, body=encode_member(me)),
+        Row(key="member/b", version=2, body=encode_member(peer)),
+    )
+    view.copy.replace(Changes(rows=rows, version=57, as_of=timers.elapsed()))
+    changing = Changing(previous="claims-0", holder="b", planned=False)
+    table = TableAnswer(
+        version=55,
+        age_s=0.1,
+        rows=[("leader/claims", 60, encode_leadership(changing))],
+        whole=False,
+    )
+    sync = PeerTableSync(
+        network=AnsweringNetwork(CopyAnswer(tables={"fleet": table}, grant_s=1.2)),
+        copies={"fleet": view.copy},
+        grants=Grants("a", view=view, timers=timers),
+        timers=timers,
+    )
+    await sync.refresh([peer])
+    assert view.leaders["claims"].state == changing
+    assert view.copy.version == 57
--- a/src/heatherpier/platform/_clock.py
+++ b/src/heatherpier/platform/_clock.py
@@ -23,9 +23,10 @@
 
     def __init__(self) -> None:
         self._min_difference: float | None = None
+        self._epoch = 0
 
     def earliest_local_time(
-        self, store_time: float, *, sent_at: float, received_at: float
+        self, store_time: float, *, sent_at: float, received_at: float, epoch: int = 0
     ) -> float:
         """Returns the earliest local time that a time of the store can mean.
 
@@ -33,10 +34,15 @@
             store_time: Time in the answer by the store's clock, in seconds.
             sent_at: Local time in seconds, read before the request was sent.
             received_at: Local time in seconds, read after the answer arrived.
+            epoch: Epoch of the store in the answer. A restored store may have another
+                clock, so the bounds of an earlier epoch are discarded.
 
         Returns:
             Local time in seconds, from `sent_at` to `received_at`.
         """
+        if epoch != self._epoch:
+            self._epoch = epoch
+            self._min_difference = None
         bound = sent_at - store_time
         if self._min_difference is None or bound > self._min_difference:
             self._min_difference = bound
--- a/src/heatherpier/platform/_instances.py
+++ b/src/heatherpier/platform/_instances.py
@@ -24,6 +24,8 @@
     db_role: Literal["primary", "replica"]
     # Unix time in milliseconds when the instance started; 0 if unknown.
     born: int = 0
+    # Number of the heartbeat within this run; 0 if unknown.
+    seq_no: int = 0
 
 
 _decoder = msgspec.json.Decoder(_Entry)
@@ -55,6 +57,7 @@
         service=entry.service,
         claims_primary=entry.db_role == "primary",
         started_ms=entry.born,
+        sequence=entry.seq_no,
     )
 
 
--- a/src/heatherpier/platform/_store.py
+++ b/src/heatherpier/platform/_store.py
@@ -15,8 +15,12 @@
     Changes,
     HistoryLostError,
     Row,
+    StoreEpoch,
     StoreRefusedError,
     StoreUnavailableError,
+    epoch_of,
+    make_version,
+    number_of,
 )
 from heatherpier.telemetry import get_logger
 from heatherpier.timers import Timers
@@ -29,6 +33,10 @@
 # healthy and in some 250 ms when slow.
 CALL_TIMEOUT_S = 1.2
 
+# Counts how often the store came back from an older backup. A store without this header
+# was never restored.
+EPOCH_HEADER = "Store-Era"
+
 STATUS_OK = 200
 # A row does not have the expected version.
 STATUS_VERSION_CONFLICT = 412
@@ -75,6 +83,7 @@
         self._base = f"http://{address}"
         self._timers = timers
         self._clock = StoreClock()
+        self._epoch = StoreEpoch()
         self._session = make_client_session()
         self._rows_decoder = msgspec.json.Decoder(_Rows)
         self._commit_decoder = msgspec.json.Decoder(_Written)
@@ -93,6 +102,8 @@
             if start is not None:
                 query["from"] = start
             page, truncated = await self._fetch("rows-get", query, CALL_TIMEOUT_S)
+            if first is not None and epoch_of(page.version) != epoch_of(first.version):
+                raise StoreUnavailableError(f"{table}: restored between two pages")
             rows.extend(page.rows)
             # Later pages are newer than the first. With the version and the time of the
             # first, a watch after this read returns what changed between the pages.
@@ -105,12 +116,14 @@
 
     async def watch(self, table: str, *, after: int, wait_s: float) -> Changes:
         """Returns the changes after a version, as soon as there are any."""
+        self._epoch.check_watch(after)
         query = {
             "table": table,
-            "after": str(after),
+            "after": str(number_of(after)),
             "waitMs": str(int(wait_s * MS_PER_S)),
         }
         page, _ = await self._fetch("rows-feed", query, wait_s + CALL_TIMEOUT_S)
+        self._epoch.check_watched(after, answered_in=epoch_of(page.version))
         return page
 
     async def put(self, table: str, key: str, body: bytes, *, expected: int) -> int:
@@ -119,10 +132,11 @@
         row = {"table": table, "part": "", "key": key}
         return await self._commit(
             {
-                "precondition": [{**row, "ver": expected}],
+                "precondition": [{**row, "ver": number_of(expected)}],
                 "writes": [{**row, "value": value}],
                 "deletes": [],
-            }
+            },
+            expected=expected,
         )
 
     async def delete(self, table: str, key: str, *, expected: int) -> None:
@@ -130,20 +144,23 @@
         row = {"table": table, "part": "", "key": key}
         await self._commit(
             {
-                "precondition": [{**row, "ver": expected}],
+                "precondition": [{**row, "ver": number_of(expected)}],
                 "writes": [],
                 "deletes": [row],
-            }
+            },
+            expected=expected,
         )
 
-    async def _commit(self, change: dict[str, Any]) -> int:
-        status, body = await self._call(
+    async def _commit(self, change: dict[str, Any], *, expected: int) -> int:
+        self._epoch.check_expected(expected)
+        status, body, epoch = await self._call(
             "POST", "rows-tx", CALL_TIMEOUT_S, json=change, query={}
         )
         if status == STATUS_VERSION_CONFLICT:
             raise ChangeConflictError("the row does not have the expected version")
+        self._epoch.check_written(expected, answered_in=epoch)
         try:
-            return self._commit_decoder.decode(body).ver
+            return make_version(epoch, self._commit_decoder.decode(body).ver)
         except msgspec.MsgspecError as exc:
             raise StoreUnavailableError(f"unreadable answer: {exc}") from exc
 
@@ -151,7 +168,7 @@
         self, call: str, query: dict[str, str], timeout_s: float
     ) -> tuple[Changes, bool]:
         sent_at = self._timers.elapsed()
-        status, body = await self._call("GET", call, timeout_s, query=query)
+        status, body, epoch = await self._call("GET", call, timeout_s, query=query)
         received_at = self._timers.elapsed()
         if status == STATUS_HISTORY_LOST:
             raise HistoryLostError(
@@ -162,10 +179,14 @@
         except msgspec.MsgspecError as exc:
             raise StoreUnavailableError(f"unreadable answer: {exc}") from exc
         as_of = self._clock.earliest_local_time(
-            page.nowMs / MS_PER_S, sent_at=sent_at, received_at=received_at
+            page.nowMs / MS_PER_S,
+            sent_at=sent_at,
+            received_at=received_at,
+            epoch=epoch,
         )
-        rows = tuple(_decode_row(item) for item in page.rows)
-        return Changes(rows=rows, version=page.ver, as_of=as_of), page.truncated
+        rows = tuple(_decode_row(item, epoch) for item in page.rows)
+        version = make_version(epoch, page.ver)
+        return Changes(rows=rows, version=version, as_of=as_of), page.truncated
 
     async def _call(
         self,
@@ -175,7 +196,14 @@
         *,
         query: dict[str, str],
         json: Any = None,
-    ) -> tuple[int, bytes]:
+    ) -> tuple[int, bytes, int]:
+        """Returns status, body and epoch of the store's answer.
+
+        Raises:
+            StoreRefusedError: The store rejected the call and changed nothing.
+            StoreUnavailableError: There is no usable answer, or it is from before a
+                restore that this client knows of.
+        """
         try:
             async with (
                 self._timers.timeout(timeout_s),
@@ -194,12 +222,28 @@
             raise StoreRefusedError(f"{call}: status {resp.status}")
         if resp.status not in (STATUS_OK, STATUS_VERSION_CONFLICT, STATUS_HISTORY_LOST):
             raise StoreUnavailableError(f"{call}: status {resp.status}")
-        return resp.status, body
+        epoch = _parse_epoch(resp.headers.get(EPOCH_HEADER))
+        self._epoch.note(epoch)
+        return resp.status, body, epoch
+
+
+def _parse_epoch(text: str | None) -> int:
+    """Returns the epoch in the header of an answer; 0 if there is no such header.
+
+    Raises:
+        StoreUnavailableError: The text is no epoch.
+    """
+    if text is None:
+        return 0
+    if not text.isdecimal():
+        raise StoreUnavailableError(f"expected an epoch, got {text!r:.20}")
+    return int(text)
 
 
-def _decode_row(item: _WireRow) -> Row:
+def _decode_row(item: _WireRow, epoch: int) -> Row:
+    version = make_version(epoch, item.ver)
     if item.tombstone or item.value is None:
-        return Row(key=item.key, version=item.ver, body=None)
+        return Row(key=item.key, version=version, body=None)
     try:
         body = base64.b64decode(item.value, validate=True)
     except binascii.Error:
@@ -207,4 +251,4 @@
         # it as unreadable.
         log.warning("row value is not valid base64", key=item.key, version=item.ver)
         body = b""
-    return Row(key=item.key, version=item.ver, body=body)
+    return Row(key=item.key, version=version, body=body)
--- a/src/heatherpier/platform/tests/_stand_ins.py
+++ b/src/heatherpier/platform/tests/_stand_ins.py
@@ -35,6 +35,8 @@
     Row,
     StoreRefusedError,
     StoreUnavailableError,
+    make_version,
+    number_of,
 )
 from heatherpier.timers import Timers
 from heatherpier.upstreams import ConnectionLostError
@@ -75,7 +77,7 @@
             query = req.query
             changes = await client.watch(
                 query["table"],
-                after=int(query["after"]),
+                after=self._version(int(query["after"])),
                 wait_s=int(query["waitMs"]) / 1000,
             )
             return self._rows(query["table"], changes.rows, changes.version)
@@ -87,10 +89,12 @@
             version = 0
             for row in change["writes"]:
                 body = base64.b64decode(row["value"])
-                version = await client.put(*where, body, expected=condition["ver"])
+                version = await client.put(
+                    *where, body, expected=self._version(condition["ver"])
+                )
             for _ in change["deletes"]:
-                await client.delete(*where, expected=condition["ver"])
-            return web.json_response({"ver": version, "nowMs": self._now_ms()})
+                await client.delete(*where, expected=self._version(condition["ver"]))
+            return self._json({"ver": number_of(version), "nowMs": self._now_ms()})
 
         async def promote(req: web.Request) -> web.Response:
             request = await req.json()
@@ -117,10 +121,17 @@
         body = {
             "rows": [_encode_row(table, row) for row in rows],
             "truncated": False,
-            "ver": version,
+            "ver": number_of(version),
             "nowMs": self._now_ms(),
         }
-        return web.json_response(body)
+        return self._json(body)
+
+    def _version(self, number: int) -> int:
+        """Returns the version that a number in a request has in the present epoch."""
+        return make_version(self._store.epoch, number) if number else 0
+
+    def _json(self, body: dict[str, object]) -> web.Response:
+        return web.json_response(body, headers={"Store-Era": str(self._store.epoch)})
 
     def _now_ms(self) -> float:
         return asyncio.get_running_loop().time() * 1000
@@ -136,7 +147,7 @@
 
 def _encode_row(table: str, row: Row) -> dict[str, object]:
     wire: dict[str, object] = {"table": table, "part": "", "key": row.key}
-    wire["ver"] = row.version
+    wire["ver"] = number_of(row.version)
     if row.body is None:
         return wire | {"tombstone": True}
     return wire | {"value": base64.b64encode(row.body).decode()}
--- a/src/heatherpier/platform/tests/test_clock.py
+++ b/src/heatherpier/platform/tests/test_clock.py
@@ -30,3 +30,13 @@
     clock = StoreClock()
     clock.earliest_local_time(500.0, sent_at=10.0, received_at=10.02)
     assert clock.earliest_local_time(1.0, sent_at=20.0, received_at=20.02) == 20.0
+
+
+def test_bounds_of_an_earlier_epoch_of_the_store_do_not_count():
+    clock = StoreClock()
+    clock.earliest_local_time(500.0, sent_at=10.0, received_at=10.02)
+    # The restored store's clock is 0.01 s ahead, within the time of one call.
+    restored = clock.earliest_local_time(
+        510.01, sent_at=20.0, received_at=20.02, epoch=1
+    )
+    assert restored == 20.0
--- a/src/heatherpier/platform/tests/test_store.py
+++ b/src/heatherpier/platform/tests/test_store.py
@@ -12,6 +12,7 @@
     HistoryLostError,
     StoreRefusedError,
     StoreUnavailableError,
+    make_version,
 )
 from heatherpier.timers import LoopTimers
 
@@ -25,6 +26,7 @@
         self.pages = []
         self.calls = []
         self.unresponsive = False
+        self.epochs = []
 
     async def answer(self, req):
         body = await req.json() if req.can_read_body else None
@@ -32,7 +34,11 @@
         if self.unresponsive:
             await asyncio.sleep(30)
         answer = self.pages.pop(0) if self.pages else self.body
-        return web.json_response(answer, status=self.status)
+        headers = {"Store-Era": self.epochs[0]} if self.epochs else None
+        if len(self.epochs) > 1:
+            # The last epoch is that of all later answers.
+            self.epochs.pop(0)
+        return web.json_response(answer, status=self.status, headers=headers)
 
 
 @pytest.fixture
@@ -142,3 +148,62 @@
     fake_store.body = {"rows": [row], "ver": 1, "nowMs": 1}
     changes = await client.read_table("t")
     assert changes.rows[0].body == b""
+
+
+async def test_versions_carry_the_epoch_of_the_answer(client, fake_store):
+    fake_store.epochs = ["3"]
+    fake_store.body = {"rows": [wire_row("a", 4, "x")], "ver": 5, "nowMs": 1}
+    changes = await client.read_table("t")
+    assert changes.version == make_version(3, 5)
+    assert changes.rows[0].version == make_version(3, 4)
+
+
+async def test_the_store_is_asked_for_its_own_numbers(client, fake_store):
+    fake_store.epochs = ["3"]
+    fake_store.body = {"rows": [], "ver": 8, "nowMs": 1}
+    await client.watch("t", after=make_version(3, 5), wait_s=1.0)
+    assert fake_store.calls[0][2]["after"] == "5"
+    assert await client.put("t", "a", b"x", expected=make_version(3, 7)) == (
+        make_version(3, 8)
+    )
+    assert fake_store.calls[1][3]["precondition"][0]["ver"] == 7
+
+
+async def test_a_watch_that_spans_a_restore_loses_its_history(client, fake_store):
+    fake_store.epochs = ["1"]
+    fake_store.body = {"rows": [wire_row("a", 6, "x")], "ver": 6, "nowMs": 1}
+    with pytest.raises(HistoryLostError):
+        await client.watch("t", after=5, wait_s=0.0)
+
+
+async def test_a_write_on_a_row_from_before_a_restore_is_not_sent(client, fake_store):
+    fake_store.epochs = ["1"]
+    await client.read_table("t")
+    with pytest.raises(ChangeConflictError):
+        await client.put("t", "a", b"x", expected=5)
+    assert len(fake_store.calls) == 1
+
+
+async def test_a_write_answered_in_a_later_epoch_has_an_unknown_outcome(
+    client, fake_store
+):
+    fake_store.epochs = ["1"]
+    fake_store.body = {"ver": 6, "nowMs": 1}
+    with pytest.raises(StoreUnavailableError, match="epoch"):
+        await client.put("t", "a", b"x", expected=5)
+
+
+async def test_pages_of_two_epochs_are_not_joined(client, fake_store):
+    fake_store.epochs = ["1", "2"]
+    fake_store.pages = [
+        {"rows": [wire_row("a", 1, "x")], "ver": 5, "nowMs": 1, "truncated": True},
+        {"rows": [wire_row("b", 2, "y")], "ver": 5, "nowMs": 2},
+    ]
+    with pytest.raises(StoreUnavailableError, match="restored"):
+        await client.read_table("t")
+
+
+async def test_a_malformed_epoch_makes_the_answer_unusable(client, fake_store):
+    fake_store.epochs = ["soon"]
+    with pytest.raises(StoreUnavailableError, match="'soon'"):
+        await client.read_table("t")
--- a/src/heatherpier/tables/__init__.py
+++ b/src/heatherpier/tables/__init__.py
@@ -1,6 +1,12 @@
 """Local copies of tables of the coordination store, kept current by watches."""
 
 from heatherpier.tables._copy import TableCopy
+from heatherpier.tables._epochs import (
+    StoreEpoch,
+    epoch_of,
+    make_version,
+    number_of,
+)
 from heatherpier.tables._errors import (
     ChangeConflictError,
     HistoryLostError,
@@ -17,9 +23,13 @@
     "HistoryLostError",
     "Row",
     "RowStore",
+    "StoreEpoch",
     "StoreError",
     "StoreRefusedError",
     "StoreUnavailableError",
     "TableCopy",
     "TableFollower",
+    "epoch_of",
+    "make_version",
+    "number_of",
 ]
--- a/src/heatherpier/tables/_copy.py
+++ b/src/heatherpier/tables/_copy.py
@@ -2,14 +2,18 @@
 
 from collections.abc import Callable
 
+from heatherpier.tables._epochs import epoch_of
 from heatherpier.tables._interface import Changes, Row
+from heatherpier.telemetry import get_logger
 from heatherpier.timers import Timers
 
+log = get_logger("feeds")
 # Maximum number of deleted rows that are kept; beyond it the oldest is discarded. A
 # peer that asks for changes from before a discarded one gets all rows instead.
 MAX_DELETED = 256
 
 RowListener = Callable[[Row], None]
+EpochListener = Callable[[], None]
 
 
 class TableCopy:
@@ -27,6 +31,9 @@
         followed_since: Time in seconds by `Timers.elapsed` of the last whole read; all
             changes after it were applied. It is infinite before the first read, and
             minus infinite if all changes since the table's creation were applied.
+        epoch_since: Time in seconds by `Timers.elapsed` at which this copy reached the
+            present epoch of the store, which is after the restore that began it. It is
+            minus infinite while the store was never restored.
     """
 
     def __init__(self, table: str, *, timers: Timers) -> None:
@@ -34,6 +41,7 @@
         self.version = 0
         self.read_version = 0
         self.followed_since = float("inf")
+        self.epoch_since = float("-inf")
         self._timers = timers
         self._rows: dict[str, Row] = {}
         # Rows that were deleted since the last whole read, by key.
@@ -43,6 +51,19 @@
         self._deletions_since = 0
         self._complete_as_of: float | None = None
         self._listeners: list[RowListener] = []
+        self._epoch_listeners: list[EpochListener] = []
+
+    @property
+    def epoch(self) -> int:
+        """The epoch of the store that the copy shows."""
+        return epoch_of(self.version)
+
+    def subscribe_to_epochs(self, listener: EpochListener) -> None:
+        """Calls ``listener`` before the rows of a later epoch replace the present ones.
+
+        It is not called for the first read.
+        """
+        self._epoch_listeners.append(listener)
 
     def subscribe(self, listener: RowListener) -> None:
         """Calls ``listener`` with each changed row; a deleted row has no body."""
@@ -80,8 +101,12 @@
         """Replaces the copy by all rows of the table, unless the copy is newer."""
         if changes.version < self.version:
             return
+        self._enter_epoch(changes)
         present = {row.key for row in changes.rows}
         for key in self._rows.keys() - present:
+            if self._rows[key].version > changes.version:
+                # The row was received after the whole table was read.
+                continue
             self._delete(Row(key=key, version=changes.version, body=None))
         self._deleted.clear()
         self.followed_since = self._timers.elapsed()
@@ -92,8 +117,13 @@
         self._record_completeness(changes)
 
     def apply_from_beginning(self, changes: Changes) -> None:
-        """Applies all changes since the table's creation."""
-        if self.version == 0:
+        """Applies all changes since the table's creation.
+
+        After a restore, these lack the changes that were discarded, so they do not
+        count as complete.
+        """
+        self._enter_epoch(changes)
+        if self.version == 0 and epoch_of(changes.version) == 0:
             self.followed_since = float("-inf")
         self.apply(changes)
 
@@ -112,6 +142,22 @@
         else:
             self._write(row)
 
+    def _enter_epoch(self, changes: Changes) -> None:
+        """Records that the store was restored, if the changes are of a later epoch."""
+        if epoch_of(changes.version) <= self.epoch:
+            return
+        if self.version:
+            log.warning(
+                "store restored from a backup",
+                table=self.table,
+                epoch=epoch_of(changes.version),
+                previous=self.epoch,
+                age_s=round(self.age_s(), 3),
+            )
+            for listener in self._epoch_listeners:
+                listener()
+        self.epoch_since = self._timers.elapsed()
+
     def _record_completeness(self, changes: Changes) -> None:
         if self.followed_since == float("inf"):
             self.followed_since = self._timers.elapsed()
