Control traffic that does not grow with the square of the fleet

A proxy whose copies were stale asked all other voters for all tables at once, and a starting proxy took its copies for infinitely old, so it did so before the store had answered. A configuration of 1,400 routes (340 KB) thus came up to six times to each of 79 proxies, over links of 20 Mbit/s. Each of 79 registrations ended the watches of all others (5.5 calls a proxy in the first 2 s).

Ruled out: rows from all voters with a smaller period (still the square); no grants of all (a lease needs a majority of them).

Change: grants and the fleet's table are asked of all voters, the other tables of one near peer with current copies; large rows are deflated for peers that can read them; a starting proxy gives the store 0.4 s; watches are paced; the first read of the fleet's table waits for the registration, so that it shows the proxy's own row; new callers of a starting proxy wait up to 1.2 s for the first configuration instead of being refused.

--- a/src/heatherpier/_proxy_engine.py
+++ b/src/heatherpier/_proxy_engine.py
@@ -27,6 +27,7 @@
     LeaseReleases,
     MemberLiveness,
     PeerLinks,
+    PeerRanking,
     PeerTableFallback,
     PeerTableSync,
     PeerTableWatch,
@@ -64,6 +65,12 @@
 # Watches of the fleet's table renew the leases on primaries; this lets two of them end
 # within the time of a lease.
 FLEET_LONG_POLL_S = 1.2
+# Minimum time between two calls for the same table. While many proxies start, each
+# registration changes the fleet's table; followers that a voter can serve have found
+# it within this time, and need no second call.
+WATCH_PERIOD_S = 0.4
+# Time that the first read of the fleet's table waits for this proxy's registration.
+REGISTRATION_S = 0.2
 EXPIRY_PERIOD_S = 0.25
 WARM_PERIOD_S = 1.0
 # Age of the copy up to which the routing table may answer that a database does not
@@ -109,6 +116,7 @@
         self._timers = timers
         self._rng = rng
         self._routes = ActiveRoutes()
+        self._configured = asyncio.Event()
         self._registry = InstanceRegistry(timers=timers)
         self._health = InstanceHealth(timers=timers)
         self._configurations = TableCopy(layout.configuration, timers=timers)
@@ -176,6 +184,7 @@
         self._table_sync = PeerTableSync(
             network=network,
             copies={copy.table: copy for copy in self._copies},
+            granted_table=FLEET_TABLE,
             grants=self._grants,
             timers=timers,
         )
@@ -220,8 +229,16 @@
             links=self._links,
             table_sync=self._table_sync,
             view=self.view,
-            distance=self._location.distance,
+            ranking=self._make_ranking(),
+            timers=timers,
+        )
+        registration = Registration(
+            self._location.me,
+            store=ports.store,
+            view=self.view,
+            leases=self.context.leases,
             timers=timers,
+            rng=rng,
         )
         for copy in self._copies:
             wait_s = FLEET_LONG_POLL_S if copy is self.view.copy else LONG_POLL_S
@@ -231,18 +248,14 @@
                 timers=timers,
                 rng=rng,
                 wait_s=wait_s,
+                min_period_s=WATCH_PERIOD_S,
                 gate=table_watch.direct,
                 from_beginning=copy is self.view.copy,
             )
-            self._start_task(follower.run())
-        registration = Registration(
-            self._location.me,
-            store=ports.store,
-            view=self.view,
-            leases=self.context.leases,
-            timers=timers,
-            rng=rng,
-        )
+            if copy is self.view.copy:
+                self._start_task(_follow_registered(follower, registration))
+            else:
+                self._start_task(follower.run())
         liveness = MemberLiveness(
             self._location.me.name,
             network=ports.network,
@@ -257,6 +270,7 @@
             fleet=self.view.copy,
             others=[self._configurations, self._instances],
             seeds=list(self._location.seeds),
+            ranking=self._make_ranking(),
             timers=timers,
         )
         for coroutine in (
@@ -270,6 +284,13 @@
             self._start_task(coroutine)
         return self
 
+    def _make_ranking(self) -> PeerRanking:
+        return PeerRanking(
+            self._location.me.name,
+            distance=self._location.distance,
+            timers=self._timers,
+        )
+
     async def __aexit__(self, *exc_info: object) -> None:
         for task in self._watchers.values():
             task.cancel()
@@ -283,6 +304,17 @@
         """Returns whether the configuration and at least one instance are known."""
         return self._routes.known and bool(self._registry.all())
 
+    async def wait_until_configured(self, *, limit_s: float) -> None:
+        """Waits for the first configuration, at most ``limit_s`` seconds."""
+        if self._configured.is_set():
+            return
+        try:
+            async with self._timers.timeout(limit_s):
+                await self._configured.wait()
+        except TimeoutError:
+            # Sessions are then refused, since no database is known.
+            return
+
     def open_session(self, database: str) -> CallerSession | Failed:
         """Returns a session for a new caller, or the answer that rejects the caller."""
         route = find_route(self.context, database)
@@ -304,6 +336,7 @@
             )
             return
         if self._routes.replace_if_newer(table):
+            self._configured.set()
             self._update_watchers(table)
 
     def _update_watchers(self, table: RoutingTable) -> None:
@@ -409,3 +442,11 @@
         return self._shares.share(
             accepted=spec.max_connections, proxies=len(self.view.members)
         )
+
+
+async def _follow_registered(
+    follower: TableFollower, registration: Registration
+) -> None:
+    """Follows the fleet's table once this proxy's row is in it."""
+    await registration.wait_for_attempt(limit_s=REGISTRATION_S)
+    await follower.run()
--- a/src/heatherpier/bench/_fault_injector.py
+++ b/src/heatherpier/bench/_fault_injector.py
@@ -22,6 +22,9 @@
 MAX_BACKUP_AGE_S = 10.0
 # Longest time for which the store is away during a restore.
 MAX_RESTORE_S = 2.0
+# Changes by other users of the store shortly before a change of primary, and their table.
+FOREIGN_WRITES = 30
+FOREIGN_TABLE = "foreign"
 # Time after a restore in which the operator and the instances write their rows again.
 REWRITE_S = 1.0
 
@@ -228,6 +231,10 @@
         if primary is None:
             return
         began = self._timers.now()
+        for number in range(FOREIGN_WRITES):
+            # Other users of the store write too, so the restore takes back more
+            # numbers than the change and its confirmation use.
+            self._store.commit(FOREIGN_TABLE, str(number), b"")
         for instance in self._group.instances.values():
             instance.lag_s = FAULTY_LAG_S
         drain = asyncio.create_task(self._drain(primary, duration_s + MAX_RESTORE_S))
--- a/src/heatherpier/bench/_simulated_deployment.py
+++ b/src/heatherpier/bench/_simulated_deployment.py
@@ -138,12 +138,13 @@
             for kind, consistency in kinds.items()
         }
 
-    def configure(self, routes: dict[str, Consistency]) -> int:
+    def configure(self, routes: dict[str, Consistency], *, padding: str = "") -> int:
         """Writes a new configuration to the store and returns its version.
 
         Args:
             routes: Consistency of each database, whose name is the name of its service
                 and a suffix after a hyphen.
+            padding: Text that makes the row as large as that of many routes.
         """
         self._configuration_version += 1
         table = RoutingTable(
@@ -168,7 +169,7 @@
                 for name in self.groups
             },
         )
-        body = f"configuration {self._configuration_version}".encode()
+        body = f"configuration {self._configuration_version}{padding}".encode()
         self._routing_tables[body] = table
         self.store.write(CONFIGURATION, CONFIGURATION_KEY, body)
         return self._configuration_version
--- a/src/heatherpier/leases/__init__.py
+++ b/src/heatherpier/leases/__init__.py
@@ -18,6 +18,7 @@
 from heatherpier.leases._leadership_rows import ChangeFailedError, LeadershipRows
 from heatherpier.leases._liveness import MemberLiveness
 from heatherpier.leases._messages import LEASE_MESSAGES
+from heatherpier.leases._peer_ranking import PeerRanking
 from heatherpier.leases._peers import PeerLinks
 from heatherpier.leases._primary_leases import LEASE_S, Lease, NoLease, PrimaryLeases
 from heatherpier.leases._records import (
@@ -71,6 +72,7 @@
     "NoLease",
     "NotRunningError",
     "PeerLinks",
+    "PeerRanking",
     "PeerTableWatch",
     "PrimaryChanger",
     "PrimaryLeases",
--- a/src/heatherpier/leases/_messages.py
+++ b/src/heatherpier/leases/_messages.py
@@ -127,11 +127,15 @@
         hold_s: Maximum time in seconds for which the peer may delay the answer until
             a table changes (long poll).
         support: Whether the peer is asked for a grant.
+        tables: Names of the tables that are asked for, or None for all.
+        deflate: Whether the sender can read deflated rows.
     """
 
     versions: dict[str, int]
     hold_s: float = 0.0
     support: bool = True
+    tables: list[str] | None = None
+    deflate: bool = False
 
 
 class TableAnswer(Message, frozen=True, kw_only=True, tag="table"):
@@ -143,12 +147,14 @@
         rows: Key, version and content of each row that is newer than the copy of the
             proxy that asked. The content of a deleted row is None.
         whole: Whether ``rows`` holds all rows of the table.
+        deflated: Keys of the rows whose content is deflated.
     """
 
     version: int
     age_s: float
     rows: list[tuple[str, int, bytes | None]]
     whole: bool
+    deflated: list[str] = []
 
 
 class CopyAnswer(Message, frozen=True, kw_only=True, tag="copies"):
--- a/src/heatherpier/leases/_registration.py
+++ b/src/heatherpier/leases/_registration.py
@@ -1,5 +1,6 @@
 """Registers this proxy as a member of the fleet."""
 
+import asyncio
 import random
 
 from heatherpier.fleet import Peer
@@ -47,6 +48,7 @@
         self._leases = leases
         self._timers = timers
         self._backoff = Backoff(rng=rng)
+        self._attempted = asyncio.Event()
         view.copy.subscribe(self._note_own_row)
 
     async def run(self) -> None:
@@ -63,8 +65,22 @@
             except StoreError as exc:
                 failures += 1
                 log.info("registration failed", reason=str(exc), failures=failures)
+            self._attempted.set()
             await self._timers.sleep(self._backoff.delay_s(max(failures, 5)))
 
+    async def wait_for_attempt(self, *, limit_s: float) -> None:
+        """Waits until the first attempt has ended, at most ``limit_s`` seconds.
+
+        A table that is read after it shows this proxy's row, without which there is no
+        lease.
+        """
+        try:
+            async with self._timers.timeout(limit_s):
+                await self._attempted.wait()
+        except TimeoutError:
+            # The store does not answer; its tables are then read as soon as it does.
+            return
+
     def _note_own_row(self, row: Row) -> None:
         """Adopts the version that this proxy's row has after a restore of the store."""
         if row.key == MEMBER_PREFIX + self._me.name:
--- a/src/heatherpier/leases/_table_sync.py
+++ b/src/heatherpier/leases/_table_sync.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from heatherpier.fleet import Message, Peer, PeerNetwork, PeerUnreachableError
+from heatherpier.leases._deflation import DeflateError, deflate, inflate
 from heatherpier.leases._grants import Grants
 from heatherpier.leases._messages import CopyAnswer, CopyRequest, TableAnswer
 from heatherpier.leases._peers import REQUEST_TIMEOUT_S
@@ -13,6 +14,8 @@
 log = get_logger("leases")
 # Longest time that a request is held, whatever the peer asks for.
 MAX_LONG_POLL_S = 5.0
+# Smaller rows hardly shrink, and most rows of members and instances are smaller.
+MIN_DEFLATED_BYTES = 2048
 
 
 class PeerTableSync:
@@ -21,6 +24,7 @@
     Args:
         network: Requests and answers between proxies.
         copies: Copies of tables by name, shared with peers.
+        granted_table: Name of the table that grants rest on.
         grants: Grants received from peers and given to them.
         timers: Timer service.
     """
@@ -30,6 +34,7 @@
         *,
         network: PeerNetwork,
         copies: dict[str, TableCopy],
+        granted_table: str,
         grants: Grants,
         timers: Timers,
     ) -> None:
@@ -37,16 +42,34 @@
         self._copies = copies
         self._grants = grants
         self._timers = timers
+        self._granted_table = granted_table
+        # Version and deflated content of large rows, by table and key.
+        self._deflated_rows: dict[tuple[str, str], tuple[int, bytes]] = {}
         self._changed = asyncio.Event()
         for copy in copies.values():
             copy.subscribe(self._note_changes)
         network.handle(CopyRequest, self._on_copy)
 
-    async def refresh(self, peers: list[Peer]) -> None:
-        """Applies newer rows of peers to the copies, and asks each peer for a grant."""
-        await asyncio.gather(
-            *(self._request_copies(peer, hold_s=0.0, with_grant=True) for peer in peers)
+    async def refresh(self, peer: Peer) -> dict[str, float]:
+        """Applies newer rows of all tables of a peer, and asks it for a grant.
+
+        Returns:
+            Age of the peer's copy of each table in seconds; empty without an answer.
+        """
+        return _ages(await self._request_copies(peer, hold_s=0.0, with_grant=True))
+
+    async def request_grant(self, peer: Peer) -> dict[str, float]:
+        """Asks a peer for a grant, and for newer rows of the table that it rests on.
+
+        Other tables can be large, and are fetched from one peer only.
+
+        Returns:
+            Age of the peer's copy of that table in seconds; empty without an answer.
+        """
+        answer = await self._request_copies(
+            peer, hold_s=0.0, with_grant=True, tables=[self._granted_table]
         )
+        return _ages(answer)
 
     async def long_poll(self, peer: Peer, *, hold_s: float) -> bool:
         """Applies newer rows of a peer, and waits there for a change if it has none.
@@ -58,13 +81,25 @@
         Returns:
             Whether the peer answered.
         """
-        return await self._request_copies(peer, hold_s=hold_s, with_grant=False)
+        answer = await self._request_copies(peer, hold_s=hold_s, with_grant=False)
+        return answer is not None
 
     async def _request_copies(
-        self, peer: Peer, *, hold_s: float, with_grant: bool
-    ) -> bool:
+        self,
+        peer: Peer,
+        *,
+        hold_s: float,
+        with_grant: bool,
+        tables: list[str] | None = None,
+    ) -> CopyAnswer | None:
         versions = {name: copy.version for name, copy in self._copies.items()}
-        req = CopyRequest(versions=versions, hold_s=hold_s, support=with_grant)
+        req = CopyRequest(
+            versions=versions,
+            hold_s=hold_s,
+            support=with_grant,
+            tables=tables,
+            deflate=True,
+        )
         sent_at = self._timers.elapsed()
         try:
             answer = await self._network.request(
@@ -76,9 +111,9 @@
                 peer=peer.name,
                 reason=str(exc),
             )
-            return False
+            return None
         if not isinstance(answer, CopyAnswer):
-            return False
+            return None
         for name, table in answer.tables.items():
             copy = self._copies.get(name)
             if copy is not None:
@@ -86,22 +121,25 @@
                 # that results here is never too low.
                 read_at = sent_at + answer.held_s
                 self._apply_table(copy, table, read_at=read_at, peer=peer)
-        if not with_grant:
-            return True
-        self._grants.receive(peer.name, asked_at=sent_at, grant_s=answer.grant_s)
-        return True
+        if with_grant:
+            self._grants.receive(peer.name, asked_at=sent_at, grant_s=answer.grant_s)
+        return answer
 
     def _apply_table(
         self, copy: TableCopy, table: TableAnswer, *, read_at: float, peer: Peer
     ) -> None:
-        changes = Changes(
-            rows=tuple(
-                Row(key=key, version=version, body=body)
-                for key, version, body in table.rows
-            ),
-            version=table.version,
-            as_of=read_at - table.age_s,
-        )
+        try:
+            rows = tuple(_read_row(item, table.deflated) for item in table.rows)
+        except DeflateError as exc:
+            log.warning(
+                "rows of a peer can't be inflated",
+                table=copy.table,
+                peer=peer.name,
+                version=table.version,
+                reason=str(exc),
+            )
+            return
+        changes = Changes(rows=rows, version=table.version, as_of=read_at - table.age_s)
         if table.version < copy.version:
             # The peer may know a newer row although its copy is older: a peer that
             # asked it to release a primary sent that row. A grant in the same answer
@@ -131,9 +169,9 @@
             await self._wait_for_changes(min(req.hold_s, MAX_LONG_POLL_S))
         return CopyAnswer(
             tables={
-                name: _make_table_answer(copy, since=req.versions.get(name, 0))
+                name: self._make_table_answer(copy, req)
                 for name, copy in self._copies.items()
-                if copy.version
+                if copy.version and (req.tables is None or name in req.tables)
             },
             grant_s=self._grants.give() if req.support else 0.0,
             held_s=self._timers.elapsed() - began,
@@ -158,13 +196,42 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
+    def _make_table_answer(self, copy: TableCopy, req: CopyRequest) -> TableAnswer:
+        changed = copy.changes_since(req.versions.get(copy.table, 0))
+        rows = copy.rows() if changed is None else changed
+        sent, deflated = [], []
+        for row in rows:
+            body = row.body
+            if req.deflate and body is not None and len(body) >= MIN_DEFLATED_BYTES:
+                body = self._deflated(copy.table, row)
+                deflated.append(row.key)
+            sent.append((row.key, row.version, body))
+        return TableAnswer(
+            version=copy.version,
+            age_s=copy.age_s(),
+            rows=sent,
+            whole=changed is None,
+            deflated=deflated,
+        )
+
+    def _deflated(self, table: str, row: Row) -> bytes:
+        """Returns the deflated content of a row, which is kept for other peers."""
+        assert row.body is not None
+        version, body = self._deflated_rows.get((table, row.key), (-1, b""))
+        if version != row.version:
+            body = deflate(row.body)
+            self._deflated_rows[(table, row.key)] = (row.version, body)
+        return body
+
+
+def _read_row(item: tuple[str, int, bytes | None], deflated: list[str]) -> Row:
+    key, version, body = item
+    if body is not None and key in deflated:
+        body = inflate(body)
+    return Row(key=key, version=version, body=body)
+
 
-def _make_table_answer(copy: TableCopy, *, since: int) -> TableAnswer:
-    changed = copy.changes_since(since)
-    rows = copy.rows() if changed is None else changed
-    return TableAnswer(
-        version=copy.version,
-        age_s=copy.age_s(),
-        rows=[(row.key, row.version, row.body) for row in rows],
-        whole=changed is None,
-    )
+def _ages(answer: CopyAnswer | None) -> dict[str, float]:
+    if answer is None:
+        return {}
+    return {name: table.age_s for name, table in answer.tables.items()}
--- a/src/heatherpier/leases/_table_watch.py
+++ b/src/heatherpier/leases/_table_watch.py
@@ -1,11 +1,9 @@
 """Follows the store's tables through a voter, to reduce calls to the store."""
 
 import asyncio
-from collections.abc import Callable
-
-import xxhash
 
 from heatherpier.fleet import Peer
+from heatherpier.leases._peer_ranking import PeerRanking
 from heatherpier.leases._peers import PeerLinks
 from heatherpier.leases._table_sync import PeerTableSync
 from heatherpier.leases._view import FleetView
@@ -32,8 +30,7 @@
         links: The other proxies.
         table_sync: Fetches tables from peers.
         view: Members and leaders.
-        distance: Returns the distance of a data centre: 0 for this proxy's own, and a
-            higher number for one farther away.
+        ranking: Chooses the voter to follow.
         timers: Timer service.
 
     Attributes:
@@ -46,7 +43,7 @@
         links: PeerLinks,
         table_sync: PeerTableSync,
         view: FleetView,
-        distance: Callable[[str], int],
+        ranking: PeerRanking,
         timers: Timers,
     ) -> None:
         self.direct = asyncio.Event()
@@ -54,9 +51,8 @@
         self._links = links
         self._table_sync = table_sync
         self._view = view
-        self._distance = distance
+        self._ranking = ranking
         self._timers = timers
-        self._backoff_until: dict[str, float] = {}
 
     @property
     def _copy(self) -> TableCopy:
@@ -76,7 +72,7 @@
         answered = await self._table_sync.long_poll(peer, hold_s=LONG_POLL_S)
         if answered and self._copy.age_s() < MAX_AGE_S:
             return True
-        self._backoff_until[peer.name] = self._timers.now() + PEER_BACKOFF_S
+        self._ranking.back_off(peer, for_s=PEER_BACKOFF_S)
         return False
 
     def _switch_source(self, *, direct: bool, peer: Peer | None) -> None:
@@ -97,19 +93,8 @@
     def _choose_peer(self) -> Peer | None:
         """Returns the nearest voter that is not in back-off, or None.
 
-        Also returns None if this proxy is a voter or has read no table yet. Among
-        voters at the same distance, a hash spreads the proxies.
+        Also returns None if this proxy is a voter or has read no table yet.
         """
         if not self._copy.version or self._links.me in self._view.voters():
             return None
-        now = self._timers.now()
-        peers = [
-            peer
-            for peer in self._links.other_voters()
-            if self._backoff_until.get(peer.name, 0.0) <= now
-        ]
-        return min(peers, key=self._rank, default=None)
-
-    def _rank(self, peer: Peer) -> tuple[int, str]:
-        pair = f"{self._links.me} {peer.name}".encode()
-        return self._distance(peer.data_centre), xxhash.xxh64_hexdigest(pair)
+        return self._ranking.choose(self._links.other_voters())
--- a/src/heatherpier/leases/tests/test_stale_grants_and_reads.py
+++ b/src/heatherpier/leases/tests/test_stale_grants_and_reads.py
@@ -106,9 +106,10 @@
     sync = PeerTableSync(
         network=AnsweringNetwork(CopyAnswer(tables={"fleet": table}, grant_s=1.2)),
         copies={"fleet": view.copy},
+        granted_table="fleet",
         grants=Grants("a", view=view, timers=timers),
         timers=timers,
     )
-    await sync.refresh([peer])
+    await sync.request_grant(peer)
     assert view.leaders["claims"].state == changing
     assert view.copy.version == 57
--- a/src/heatherpier/platform/_clients.py
+++ b/src/heatherpier/platform/_clients.py
@@ -1,7 +1,7 @@
 """Serves callers' connections by the line protocol."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from heatherpier.platform._channel import (
     ChannelClosedError,
@@ -37,6 +37,7 @@
 ACCEPT_BACKLOG = 1024
 
 OpenSession = Callable[[str], CallerSession | Failed]
+WaitUntilConfigured = Callable[[], Awaitable[None]]
 
 
 class LineListener:
@@ -46,13 +47,19 @@
         open_session: Opens a session for a database, or returns the failure that the
             caller is answered with.
         limits: Returns the active limits.
+        wait_until_configured: Returns once databases are known, or will not be soon.
     """
 
     def __init__(
-        self, *, open_session: OpenSession, limits: Callable[[], CallerLimits]
+        self,
+        *,
+        open_session: OpenSession,
+        limits: Callable[[], CallerLimits],
+        wait_until_configured: WaitUntilConfigured,
     ) -> None:
         self._open_session = open_session
         self._limits = limits
+        self._wait_until_configured = wait_until_configured
         self._server: asyncio.Server | None = None
         self._sessions: set[LineSession] = set()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -74,7 +81,10 @@
     def _accept(self) -> LineChannel:
         channel = LineChannel()
         session = LineSession(
-            channel, open_session=self._open_session, limits=self._limits
+            channel,
+            open_session=self._open_session,
+            limits=self._limits,
+            wait_until_configured=self._wait_until_configured,
         )
         if self._closes_when_idle:
             session.close_when_idle()
@@ -142,6 +152,7 @@
         open_session: Opens a session for a database, or returns the failure that the
             caller is answered with.
         limits: Returns the active limits.
+        wait_until_configured: Returns once databases are known, or will not be soon.
     """
 
     def __init__(
@@ -150,10 +161,12 @@
         *,
         open_session: OpenSession,
         limits: Callable[[], CallerLimits],
+        wait_until_configured: WaitUntilConfigured,
     ) -> None:
         self._channel = channel
         self._open_session = open_session
         self._limits = limits
+        self._wait_until_configured = wait_until_configured
         self._session: CallerSession | None = None
         self._awaits_message = False
         self._closes_when_idle = False
@@ -193,6 +206,7 @@
                 )
             )
             return
+        await self._wait_until_configured()
         session = (
             STOPPING_FAILURE if self._rejects_new else self._open_session(database)
         )
--- a/src/heatherpier/platform/tests/test_clients.py
+++ b/src/heatherpier/platform/tests/test_clients.py
@@ -62,14 +62,29 @@
 
 
 @pytest.fixture
-async def listener(sessions):
+def configured():
+    """Returns the event that the databases are known, which is set at first."""
+    event = asyncio.Event()
+    event.set()
+    return event
+
+
+@pytest.fixture
+async def listener(sessions, configured):
     def open_session(database):
         if database == "absent":
             return Failed(code=Code.UNKNOWN_DATABASE, reason="absent")
         sessions.append(FakeSession(database))
         return sessions[-1]
 
-    running = LineListener(open_session=open_session, limits=lambda: LIMITS)
+    async def wait_until_configured():
+        await configured.wait()
+
+    running = LineListener(
+        open_session=open_session,
+        limits=lambda: LIMITS,
+        wait_until_configured=wait_until_configured,
+    )
     await running.start(host="127.0.0.1", port=0)
     yield running
     await running.close()
@@ -281,3 +296,15 @@
     assert line.startswith("ERR OVERLOAD")
     assert await asyncio.wait_for(streams[0].read(), 5) == b""
     assert sessions == []
+
+
+async def test_a_caller_waits_while_no_database_is_known_yet(
+    connect, sessions, configured
+):
+    configured.clear()
+    streams = await connect()
+    streams[1].write(b"START db u1\r\n")
+    await asyncio.sleep(0.05)
+    assert sessions == []
+    configured.set()
+    assert await streams[0].readline() == b"READY I -\r\n"
--- a/src/heatherpier/tables/_follower.py
+++ b/src/heatherpier/tables/_follower.py
@@ -26,6 +26,9 @@
         rng: Source of the jitter between retries.
         wait_s: Longest wait of one watch, in seconds. An unresponsive connection is
             noticed only after it.
+        min_period_s: Minimum time from the start of one successful call to the start
+            of the next, in seconds. Changes that come in quick succession are then
+            returned together.
         gate: The table is followed only while this is set; None means always.
         from_beginning: Whether to request all changes since the table's creation
             first, because a whole read does not show what was deleted.
@@ -42,6 +45,7 @@
         timers: Timers,
         rng: random.Random,
         wait_s: float,
+        min_period_s: float = 0.0,
         gate: asyncio.Event | None = None,
         from_beginning: bool = False,
     ) -> None:
@@ -49,6 +53,7 @@
         self._copy = copy
         self._timers = timers
         self._wait_s = wait_s
+        self._min_period_s = min_period_s
         self._gate = gate
         self._from_beginning = from_beginning
         self._backoff = Backoff(rng=rng, initial_s=INITIAL_RETRY_S, max_s=MAX_RETRY_S)
@@ -60,6 +65,7 @@
         while True:
             if self._gate is not None:
                 await self._gate.wait()
+            began = self._timers.now()
             try:
                 await self._step()
             except HistoryLostError as exc:
@@ -73,6 +79,8 @@
                 await self._record_failure(exc)
             else:
                 self._record_success()
+                next_at = began + self._min_period_s
+                await self._timers.sleep(max(next_at - self._timers.now(), 0))
 
     async def _step(self) -> None:
         copy = self._copy
--- a/src/heatherpier/tables/tests/test_follower.py
+++ b/src/heatherpier/tables/tests/test_follower.py
@@ -19,7 +19,7 @@
     """Returns a function that starts a follower and returns its copy."""
     tasks = []
 
-    def start():
+    def start(*, min_period_s=0.0):
         copy = TableCopy("fleet", timers=timers)
         follower = TableFollower(
             store=store.client("proxy-0"),
@@ -27,6 +27,7 @@
             timers=timers,
             rng=random.Random(1),
             wait_s=0.5,
+            min_period_s=min_period_s,
             from_beginning=True,
         )
         tasks.append(asyncio.create_task(follower.run()))
@@ -76,3 +77,15 @@
     await timers.sleep(3.0)
     assert copy.get("a").body == b"2"
     assert copy.followed_since == float("-inf")
+
+
+async def test_changes_in_quick_succession_are_read_together(store, follow, timers):
+    copy = follow(min_period_s=0.4)
+    await timers.sleep(0.1)
+    before = store.calls
+    for number in range(40):
+        store.write("fleet", f"member/{number}", b"1")
+        await timers.sleep(0.01)
+    await timers.sleep(0.5)
+    assert len(copy.rows()) == 40
+    assert store.calls - before <= 4
