Pools: proxies take turns with connections to a crowded primary

Change: a proxy whose only connection to an instance was rejected takes turns for 1.5 s: it closes idle connections to primaries, closes them after each use unless a statement waits, and opens none ahead.

--- a/src/heatherpier/pooling/_pool.py
+++ b/src/heatherpier/pooling/_pool.py
@@ -9,6 +9,7 @@
 
 from heatherpier.pooling._calls import ClearSession, RollBack
 from heatherpier.pooling._connection import InstanceConnection
+from heatherpier.pooling._crowding import Crowding
 from heatherpier.pooling._interface import InstanceConnector
 from heatherpier.requests import OverloadedError
 from heatherpier.telemetry import get_logger
@@ -70,10 +71,14 @@
         connector: Opens connections.
         timers: Timer service.
         limits: Bounds of the pool.
+        crowding: Whether instances have too few connections for all proxies; None if
+            that is not observed.
 
     Attributes:
         instance: The instance that the connections lead to.
         limits: Bounds of the pool; may be replaced at any time.
+        scarce: Whether all proxies need connections to the instance, because it is a
+            primary.
         opened: Number of connections that were opened so far.
     """
 
@@ -85,12 +90,15 @@
         connector: InstanceConnector,
         timers: Timers,
         limits: PoolLimits,
+        crowding: Crowding | None = None,
     ) -> None:
         self.instance = instance
         self.limits = limits
+        self.scarce = False
         self.opened = 0
         self._service = service
         self._connector = connector
+        self._crowding = crowding
         self._timers = timers
         self._idle: list[InstanceConnection] = []
         self._open = 0
@@ -187,6 +195,8 @@
 
     def _back_off(self, reason: str) -> None:
         """Opens no connection for `REJECTED_BACKOFF_S`, then lets one waiter try."""
+        if not self._open and self._crowding is not None:
+            self._crowding.note_rejected()
         now = self._timers.now()
         if now >= self._backoff_until:
             self._backoff_until = now + REJECTED_BACKOFF_S
@@ -290,8 +300,24 @@
             conn.abort()
             self._note_closed()
             return
+        if self._shares_in_turn() and not self.waiting:
+            conn.abort()
+            self._note_closed()
+            return
         self._hand_over(conn)
 
+    def _shares_in_turn(self) -> bool:
+        """Returns whether proxies take turns with connections to the instance."""
+        crowded = self._crowding is not None and self._crowding.active
+        return crowded and self.scarce
+
+    def close_idle(self) -> None:
+        """Closes the idle connections, so that other proxies can open some."""
+        for conn in self._idle:
+            conn.abort()
+            self._open -= 1
+        self._idle.clear()
+
     def roll_back_and_release(self, conn: InstanceConnection, *, held_s: float) -> None:
         """Rolls back a connection's transaction, then returns it to the pool.
 
@@ -354,7 +380,7 @@
         Raises:
             ConnectError: The instance does not answer.
         """
-        if not self._open:
+        if not self._open and not self._shares_in_turn():
             conn = await self._try_open()
             if conn is not None:
                 self._hand_over(conn)
@@ -362,10 +388,7 @@
     def close(self) -> None:
         """Closes idle connections now and acquired ones when they are released."""
         self._closed = True
-        for conn in self._idle:
-            conn.abort()
-            self._open -= 1
-        self._idle.clear()
+        self.close_idle()
         for _, _, fut in self._waiters:
             if not fut.done():
                 fut.set_exception(
--- a/src/heatherpier/pooling/_pools.py
+++ b/src/heatherpier/pooling/_pools.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from heatherpier.discovery import InstanceRecord
+from heatherpier.pooling._crowding import Crowding
 from heatherpier.pooling._interface import InstanceConnector
 from heatherpier.pooling._pool import ConnectionPool, PoolLimits
 from heatherpier.timers import Timers
@@ -29,12 +30,18 @@
         self._timers = timers
         self._limits = limits
         self._pools: dict[str, tuple[InstanceRecord, ConnectionPool]] = {}
+        self._crowding = Crowding(timers=timers, on_begin=self._close_idle_scarce)
 
     def of(self, record: InstanceRecord) -> ConnectionPool:
         """Returns the pool of an instance, with its current limits.
 
         The pool of an earlier incarnation is closed and replaced.
         """
+        pool = self._current_pool(record)
+        pool.scarce = record.claims_primary
+        return pool
+
+    def _current_pool(self, record: InstanceRecord) -> ConnectionPool:
         entry = self._pools.get(record.name)
         if entry is not None and _same_incarnation(entry[0], record):
             entry[1].limits = self._limits(record.service)
@@ -47,10 +54,16 @@
             connector=self._connector,
             timers=self._timers,
             limits=self._limits(record.service),
+            crowding=self._crowding,
         )
         self._pools[record.name] = (record, pool)
         return pool
 
+    def _close_idle_scarce(self) -> None:
+        for pool in self.all():
+            if pool.scarce:
+                pool.close_idle()
+
     def drop(self, name: str) -> None:
         """Closes the pool of a removed instance; does nothing if it has none."""
         entry = self._pools.pop(name, None)
