--- a/src/heatherpier/_platform_proxy.py
+++ b/src/heatherpier/_platform_proxy.py
@@ -12,6 +12,8 @@
 from contextlib import AsyncExitStack
 from dataclasses import fields
 
+from prometheus_client import Counter
+
 from heatherpier import __version__
 from heatherpier._engine_ports import Ports, StoreLayout, UnreadableRowError, VmLocation
 from heatherpier._proxy_engine import ProxyEngine
@@ -116,8 +118,17 @@
         self._stopping = False
         self._timers = LoopTimers()
         self._metrics = Metrics()
+        self._peer_bytes = Counter(
+            "heatherpier_peer_bytes",
+            "Bytes sent to other proxies, by type of message.",
+            ["message"],
+            registry=self._metrics.registry,
+        )
         self._engine: ProxyEngine | None = None
 
+    def _count_sent(self, kind: str, size: int) -> None:
+        self._peer_bytes.labels(kind).inc(size)
+
     def ready(self) -> bool:
         """Returns whether the balancer should send new callers."""
         engine = self._engine
@@ -171,7 +182,13 @@
         promotions = PromotionClient(cfg.promotions, timers=timers)
         stack.push_async_callback(promotions.close)
         me = self._peer(cfg.name, cfg.host)
-        network = ZmqPeers(me, keys=None, codec=Codec(LEASE_MESSAGES), timers=timers)
+        network = ZmqPeers(
+            me,
+            keys=None,
+            codec=Codec(LEASE_MESSAGES),
+            timers=timers,
+            on_sent=self._count_sent,
+        )
         await stack.enter_async_context(network)
         connector = LineConnector(caller=cfg.name)
         return ProxyEngine(
--- a/src/heatherpier/fleet/_messages.py
+++ b/src/heatherpier/fleet/_messages.py
@@ -103,3 +103,8 @@
             return envelope, self._bodies.decode(envelope.body)
         except msgspec.MsgspecError as exc:
             raise MalformedMessageError(str(exc)) from exc
+
+
+def message_kind(message: Message | None) -> str:
+    """Returns the name of a message's type on the wire; ``empty`` for no message."""
+    return "empty" if message is None else str(message.__struct_config__.tag)
--- a/src/heatherpier/fleet/_zmq.py
+++ b/src/heatherpier/fleet/_zmq.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
@@ -11,7 +12,13 @@
 
 from heatherpier.fleet._errors import MalformedMessageError, PeerUnreachableError
 from heatherpier.fleet._interface import Handler, MessageT, Peer
-from heatherpier.fleet._messages import MAX_FRAME_BYTES, Codec, Envelope, Message
+from heatherpier.fleet._messages import (
+    MAX_FRAME_BYTES,
+    Codec,
+    Envelope,
+    Message,
+    message_kind,
+)
 from heatherpier.telemetry import get_logger
 from heatherpier.timers import Timers
 
@@ -69,16 +76,25 @@
             off, for networks where only proxies reach each other's ports.
         codec: Encodes and decodes the messages.
         timers: Timer service.
+        on_sent: Called with the type and the size in bytes of each message that is
+            sent; None if nobody counts them.
     """
 
     def __init__(
-        self, me: Peer, *, keys: CurveKeys | None, codec: Codec, timers: Timers
+        self,
+        me: Peer,
+        *,
+        keys: CurveKeys | None,
+        codec: Codec,
+        timers: Timers,
+        on_sent: Callable[[str, int], None] | None = None,
     ) -> None:
         self.me = me
         self.counters = FleetCounters()
         self._keys = keys
         self._codec = codec
         self._timers = timers
+        self._on_sent = on_sent
         self._context = zmq.asyncio.Context()
         self._handlers: dict[type[Message], Handler[Any]] = {}
         self._links: dict[tuple[str, int], _Link] = {}
@@ -147,7 +163,7 @@
         link.pending[request_id] = future
         try:
             async with self._timers.timeout(timeout_s):
-                await self._send(link.socket, [frame])
+                await self._send(link.socket, [frame], message)
                 answer = await future
         except TimeoutError as exc:
             self._count_timeout(peer, link)
@@ -209,9 +225,14 @@
         task.add_done_callback(self._tasks.discard)
         return task
 
-    async def _send(self, sock: Any, frames: list[bytes]) -> None:
+    async def _send(
+        self, sock: Any, frames: list[bytes], message: Message | None
+    ) -> None:
+        size = sum(map(len, frames))
         self.counters.sent += 1
-        self.counters.sent_bytes += sum(map(len, frames))
+        self.counters.sent_bytes += size
+        if self._on_sent is not None:
+            self._on_sent(message_kind(message), size)
         await sock.send_multipart(frames)
 
     async def _read_answers(self, link: "_Link") -> None:
@@ -253,7 +274,7 @@
             answer=True,
             sender=self.me.name,
         )
-        await self._send(self._server, [identity, frame])
+        await self._send(self._server, [identity, frame], answer)
 
     def _decode(self, frame: bytes) -> tuple[Envelope, Message | None] | None:
         self.counters.received += 1
--- a/src/heatherpier/platform/tests/test_whole_proxy.py
+++ b/src/heatherpier/platform/tests/test_whole_proxy.py
@@ -140,7 +140,9 @@
     assert lines[2] == "READY I 1.1\r\n"
     url = f"http://{HOST}:{metrics_port}/metrics"
     async with aiohttp.ClientSession() as http, http.get(url) as resp:
-        assert "heatherpier_answers_total" in await resp.text()
+        metrics = await resp.text()
+    assert "heatherpier_answers_total" in metrics
+    assert "heatherpier_peer_bytes" in metrics
     settings.write_text(settings.read_text().replace('"graceS": 2', '"graceS": 1'))
     proxy.send_signal(signal.SIGHUP)
     await asyncio.sleep(0.3)
