Leases: peers write the row of a coordinator that lost the store; shorter takeovers

Ruled out: hedged writes (a conflict with the own write looks like another coordinator).

Result: the test of the lost store fails before (a second promotion) and passes after.

--- a/src/heatherpier/_proxy_engine.py
+++ b/src/heatherpier/_proxy_engine.py
@@ -188,7 +188,13 @@
             grants=self._grants,
             timers=timers,
         )
-        self._rows = LeadershipRows(store=ports.store, view=self.view, timers=timers)
+        self._rows = LeadershipRows(
+            store=ports.store,
+            network=network,
+            links=self._links,
+            view=self.view,
+            timers=timers,
+        )
         self._changer = self._make_changer()
         self._confirmations = Confirmations(
             me,
--- a/src/heatherpier/leases/_changer.py
+++ b/src/heatherpier/leases/_changer.py
@@ -5,7 +5,7 @@
 
 from heatherpier.discovery import InstanceRecord, InstanceRegistry
 from heatherpier.groups import LogPosition
-from heatherpier.leases._coordinators import ChangeCoordinators
+from heatherpier.leases._coordinators import ChangeCoordinators, CoordinatorState
 from heatherpier.leases._fence import CONTROL_TIMEOUT_S, Fence, PrimaryChange
 from heatherpier.leases._interface import (
     ControlError,
@@ -152,9 +152,7 @@
     ) -> tuple[InstanceRecord, ReplicationStatus]:
         if change.takeover:
             waited_s = self._timers.elapsed() - began
-            await self._timers.sleep(
-                max(COORDINATOR_MAX_STALENESS_S + PROMOTION_REQUEST_S - waited_s, 0)
-            )
+            await self._timers.sleep(max(_takeover_wait_s(change) - waited_s, 0))
         statuses = await self._fetch_statuses(change)
         term = max((item.term for item in statuses.values()), default=0)
         fence = Fence(
@@ -372,3 +370,10 @@
             await self._timers.sleep(POLL_PERIOD_S)
         log.info("promotion took no effect in time", instance=target.name)
         return None
+
+
+def _takeover_wait_s(change: PrimaryChange) -> float:
+    """Returns the time until the earlier coordinator requests no promotion any more."""
+    if change.predecessor is CoordinatorState.STOPPED:
+        return PROMOTION_REQUEST_S
+    return COORDINATOR_MAX_STALENESS_S + PROMOTION_REQUEST_S
--- a/src/heatherpier/leases/_coordinators.py
+++ b/src/heatherpier/leases/_coordinators.py
@@ -1,5 +1,7 @@
 """Asks coordinators whether they still carry out their changes of primary."""
 
+import enum
+
 from heatherpier.fleet import Message, PeerNetwork, PeerUnreachableError
 from heatherpier.leases._messages import ChangeAnswer, ChangeRequest
 from heatherpier.leases._peers import REQUEST_TIMEOUT_S
@@ -9,6 +11,18 @@
 log = get_logger("leases")
 
 
+class CoordinatorState(enum.Enum):
+    """What is known of the coordinator of a change."""
+
+    # It carries out the change, or that is not known: it may be cut off.
+    POSSIBLY_ACTIVE = enum.auto()
+    # It was removed from the fleet. If it is only cut off, it may still be active until
+    # its view is too old (`COORDINATOR_MAX_STALENESS_S`).
+    REMOVED = enum.auto()
+    # Its process has ended, or it says that it does not carry out the change.
+    STOPPED = enum.auto()
+
+
 class ChangeCoordinators:
     """Asks coordinators about their changes, and answers about those of this proxy.
 
@@ -28,22 +42,19 @@
         self._view = view
         network.handle(ChangeRequest, self._on_change)
 
-    async def has_abandoned(self, coordinator: str, service: str) -> bool:
-        """Returns whether a coordinator is known to have ended or abandoned a change.
-
-        False also stands for "not known": the coordinator may be cut off and still
-        be carrying it out. A removed member counts as ended. If it is only cut off,
-        the wait in each takeover covers it (`COORDINATOR_MAX_STALENESS_S`).
+    async def state(self, coordinator: str, service: str) -> CoordinatorState:
+        """Returns what is known of the coordinator of a change.
 
         Args:
             coordinator: Name of the proxy in the leadership row.
             service: Service whose primary is being changed.
         """
         if coordinator == self._me:
-            return service not in self.changing
+            stopped = service not in self.changing
+            return _state(stopped=stopped)
         record = self._view.members.get(coordinator)
         if record is None:
-            return True
+            return CoordinatorState.REMOVED
         try:
             answer = await self._network.request(
                 record.peer, ChangeRequest(service=service), timeout_s=REQUEST_TIMEOUT_S
@@ -60,8 +71,15 @@
                 ended=ended,
                 reason=str(exc),
             )
-            return ended
-        return isinstance(answer, ChangeAnswer) and not answer.at_work
+            return _state(stopped=ended)
+        stopped = isinstance(answer, ChangeAnswer) and not answer.at_work
+        return _state(stopped=stopped)
 
     async def _on_change(self, sender: str, req: ChangeRequest) -> Message | None:
         return ChangeAnswer(at_work=req.service in self.changing)
+
+
+def _state(*, stopped: bool) -> CoordinatorState:
+    if stopped:
+        return CoordinatorState.STOPPED
+    return CoordinatorState.POSSIBLY_ACTIVE
--- a/src/heatherpier/leases/_fence.py
+++ b/src/heatherpier/leases/_fence.py
@@ -6,6 +6,7 @@
 
 from heatherpier.discovery import InstanceRecord
 from heatherpier.fleet import Peer
+from heatherpier.leases._coordinators import CoordinatorState
 from heatherpier.leases._grants import GRANT_MAX_STALENESS_S, GRANT_S, release_quorum
 from heatherpier.leases._interface import ControlError, InstanceControl
 from heatherpier.leases._peers import PeerLinks
@@ -44,8 +45,9 @@
         expected: Version of the leadership row on which the decision rests; 0 if there
             was no row.
         record: Instance record of the old primary; None if it was never seen.
-        takeover: Whether the change takes over an earlier one, whose coordinator may
-            still be carrying it out.
+        takeover: Whether the change takes over an earlier one. A promotion that its
+            coordinator requested may still take effect.
+        predecessor: What is known of that coordinator.
         confirmed: Whether the voters were asked and confirm that the primary is lost.
         term: Term of the old primary, 0 if the service began with it, or
             `UNKNOWN_TERM`.
@@ -58,6 +60,7 @@
     expected: int
     record: InstanceRecord | None
     takeover: bool = False
+    predecessor: CoordinatorState = CoordinatorState.POSSIBLY_ACTIVE
     confirmed: bool = False
     term: int = UNKNOWN_TERM
 
--- a/src/heatherpier/leases/_messages.py
+++ b/src/heatherpier/leases/_messages.py
@@ -68,6 +68,30 @@
     at_work: bool
 
 
+class WriteRequest(Message, frozen=True, kw_only=True, tag="write"):
+    """Asks a peer to write a leadership row for a coordinator without the store.
+
+    Attributes:
+        service: Name of the service.
+        body: Content of the row.
+        expected: Version that the row must have.
+    """
+
+    service: str
+    body: bytes
+    expected: int
+
+
+class WriteAnswer(Message, frozen=True, kw_only=True, tag="written"):
+    """Answers a `WriteRequest`.
+
+    Attributes:
+        version: Version of the written row, or 0 if the peer did not write it.
+    """
+
+    version: int
+
+
 class ReachRequest(Message, frozen=True, kw_only=True, tag="reach"):
     """Asks the peer to probe an instance.
 
@@ -193,6 +217,8 @@
     ChangeAnswer,
     ConfirmRequest,
     ConfirmAnswer,
+    WriteRequest,
+    WriteAnswer,
     ReachRequest,
     ReachAnswer,
     CopyRequest,
--- a/src/heatherpier/leases/_watcher.py
+++ b/src/heatherpier/leases/_watcher.py
@@ -11,7 +11,7 @@
 )
 from heatherpier.leases._changer import CHANGE_TIMEOUT_S, PrimaryChanger
 from heatherpier.leases._confirmations import Confirmations
-from heatherpier.leases._coordinators import ChangeCoordinators
+from heatherpier.leases._coordinators import ChangeCoordinators, CoordinatorState
 from heatherpier.leases._fence import PrimaryChange
 from heatherpier.leases._grants import release_quorum
 from heatherpier.leases._indirect_probes import IndirectProber
@@ -251,7 +251,8 @@
         self, record: LeadershipRecord, state: Changing
     ) -> PrimaryChange | None:
         """Returns the takeover of a change that its coordinator does not finish."""
-        if not await self._is_abandoned(record, state.holder):
+        predecessor = await self._coordinator_state(record, state.holder)
+        if predecessor is None:
             return None
         return PrimaryChange(
             service=self._service,
@@ -261,11 +262,16 @@
             expected=record.version,
             record=self._registry.get(state.previous) or self._primary_record,
             takeover=True,
+            predecessor=predecessor,
             term=state.term,
         )
 
-    async def _is_abandoned(self, record: LeadershipRecord, holder: str) -> bool:
-        """Returns whether a coordinator no longer carries out what its row announces.
+    async def _coordinator_state(
+        self, record: LeadershipRecord, holder: str
+    ) -> CoordinatorState | None:
+        """Returns what is known of a coordinator whose work is to be taken over.
+
+        Returns None while it may still carry out what its row announces.
 
         Args:
             record: The leadership row.
@@ -276,10 +282,11 @@
             self._changing_seen = (record.version, now)
         seen_s = now - self._changing_seen[1]
         if seen_s < COORDINATOR_CHECK_S:
-            return False
-        if seen_s >= TAKEOVER_S:
-            return True
-        return await self._coordinators.has_abandoned(holder, self._service)
+            return None
+        state = await self._coordinators.state(holder, self._service)
+        if state is CoordinatorState.POSSIBLY_ACTIVE and seen_s < TAKEOVER_S:
+            return None
+        return state
 
     async def _confirm(self) -> PrimaryChange | None:
         """Confirms the primary after a restore; returns the change that is due then."""
@@ -287,7 +294,7 @@
         if (
             record is not None
             and isinstance(record.state, Confirming)
-            and not await self._is_abandoned(record, record.state.holder)
+            and await self._coordinator_state(record, record.state.holder) is None
         ):
             return None
         try:
--- a/src/heatherpier/leases/tests/test_change_of_primary.py
+++ b/src/heatherpier/leases/tests/test_change_of_primary.py
@@ -445,3 +445,42 @@
     await write_until_served(
         deployment, timers, proxy=other, limit_s=2 * CHANGE_LIMIT_S
     )
+
+
+async def test_a_coordinator_that_loses_the_store_has_a_peer_write_its_row(
+    deployment, group, timers
+):
+    # The store stops answering the coordinator after the promotion was requested, so
+    # that the row that names the new primary can't be written.
+    await read_through_every_proxy(deployment)
+    group.instances["claims-0"].running = False
+    group.promote_s = 0.8
+    await ask(deployment.open("claims-exact"), "READ claim")
+    began = timers.now()
+    while not group.promotions:
+        await timers.sleep(0.01)
+    coordinator = decode_leadership(
+        deployment.store.row("fleet", "leader/claims").body
+    ).holder
+    deployment.store.faults.unresponsive_to.add(coordinator)
+    other = next(name for name in deployment.names if name != coordinator)
+    await write_until_served(deployment, timers, proxy=other)
+    assert timers.now() - began < CHANGE_LIMIT_S
+    assert len({token for _, token in group.promotions}) == 1
+
+
+async def test_a_change_of_an_ended_coordinator_is_over_in_time(
+    deployment, group, timers
+):
+    await read_through_every_proxy(deployment)
+    group.instances["claims-0"].running = False
+    group.promote_s = 1.0
+    began = timers.now()
+    await ask(deployment.open("claims-exact"), "READ claim")
+    while not _is_changing(deployment):
+        await timers.sleep(0.01)
+    coordinator = deployment.engines["proxy-0"].view.leaders["claims"].state.holder
+    await deployment.kill(coordinator)
+    survivor = next(iter(deployment.engines))
+    await write_until_served(deployment, timers, proxy=survivor)
+    assert timers.now() - began < CHANGE_LIMIT_S
