Reads: share positions of primaries between proxies, and seek one sample at a time

Ruled out: asking the primary for its status (takes a slot and a connection that is not there); samples with the sender's time (clocks differ, reads would be stale).

Change: a proxy that follows a voter reports its newest samples with its poll, and the voter's answer brings those of its other followers. Times are converted to lower bounds: an answer was sent after its request and before it arrived. The first poll is answered at once. Reads that arrive while two others are on their way to the primary for a sample wait for it, up to the time at which they would be refused, and then run on replicas.

--- a/src/heatherpier/_proxy_engine.py
+++ b/src/heatherpier/_proxy_engine.py
@@ -35,6 +35,7 @@
     PrimaryLeases,
     PrimaryWatcher,
     Registration,
+    SampleExchange,
 )
 from heatherpier.pooling import (
     ConnectionShares,
@@ -49,6 +50,7 @@
     Runner,
     ServingContext,
     ServingMetrics,
+    SharedPositions,
     find_route,
 )
 from heatherpier.statements import Failed
@@ -69,6 +71,8 @@
 # registration changes the fleet's table; followers that a voter can serve have found
 # it within this time, and need no second call.
 WATCH_PERIOD_S = 0.4
+# Width of the number that tells incarnations of a process apart.
+CLOCK_ID_BITS = 48
 # Time that the first read of the fleet's table waits for this proxy's registration.
 REGISTRATION_S = 0.2
 EXPIRY_PERIOD_S = 0.25
@@ -186,6 +190,15 @@
             copies={copy.table: copy for copy in self._copies},
             granted_table=FLEET_TABLE,
             grants=self._grants,
+            exchange=SampleExchange(
+                SharedPositions(
+                    self.context.positions,
+                    positions_of=self.context.positions_of,
+                    timers=timers,
+                ),
+                clock_id=rng.getrandbits(CLOCK_ID_BITS),
+                timers=timers,
+            ),
             timers=timers,
         )
         self._rows = LeadershipRows(
--- a/src/heatherpier/leases/__init__.py
+++ b/src/heatherpier/leases/__init__.py
@@ -33,6 +33,7 @@
 )
 from heatherpier.leases._registration import Registration
 from heatherpier.leases._releases import LeaseReleases
+from heatherpier.leases._sample_exchange import PositionSamples, SampleExchange
 from heatherpier.leases._table_fallback import PeerTableFallback
 from heatherpier.leases._table_sync import PeerTableSync
 from heatherpier.leases._table_watch import PeerTableWatch
@@ -78,8 +79,10 @@
     "PrimaryLeases",
     "InFlightWork",
     "PrimaryWatcher",
+    "PositionSamples",
     "Promotions",
     "Registration",
+    "SampleExchange",
     "LeaseReleases",
     "Lease",
     "IndirectProber",
--- a/src/heatherpier/leases/_messages.py
+++ b/src/heatherpier/leases/_messages.py
@@ -143,6 +143,47 @@
     term: int = 0
 
 
+class SharedSample(msgspec.Struct, frozen=True, array_like=True):
+    """Position of a primary's log at a time.
+
+    Attributes:
+        term: Term of the position.
+        index: Index of the position.
+        time_s: Time or age in seconds, as the message that holds the sample says.
+    """
+
+    term: int
+    index: int
+    time_s: float
+
+
+class SampleReport(msgspec.Struct, frozen=True, kw_only=True):
+    """Samples of a follower, for the voter that it follows.
+
+    Attributes:
+        clock_id: Identifies the incarnation of the voter whose clock the times are of.
+        samples: Sample by service. Its time is the earliest that it may have been taken
+            at, in seconds of the voter's clock.
+    """
+
+    clock_id: int
+    samples: dict[str, SharedSample]
+
+
+class SampleAnswer(msgspec.Struct, frozen=True, kw_only=True):
+    """Samples of a voter, for one of its followers.
+
+    Attributes:
+        clock_id: Identifies the incarnation of the voter.
+        clock_s: Time of the answer by the voter's clock, in seconds.
+        samples: Sample by service, with its age in seconds.
+    """
+
+    clock_id: int
+    clock_s: float
+    samples: dict[str, SharedSample]
+
+
 class CopyRequest(Message, frozen=True, kw_only=True, tag="copy"):
     """Asks a peer for rows of tables that are newer than the sender's.
 
@@ -153,6 +194,8 @@
         support: Whether the peer is asked for a grant.
         tables: Names of the tables that are asked for, or None for all.
         deflate: Whether the sender can read deflated rows.
+        samples: Positions of primaries that the sender has seen, or None.
+        shares: Whether the sender takes part in the exchange of positions.
     """
 
     versions: dict[str, int]
@@ -160,6 +203,8 @@
     support: bool = True
     tables: list[str] | None = None
     deflate: bool = False
+    samples: SampleReport | None = None
+    shares: bool = False
 
 
 class TableAnswer(Message, frozen=True, kw_only=True, tag="table"):
@@ -189,11 +234,13 @@
         grant_s: Validity of the peer's grant in seconds, during which it releases no
             primary; 0 without a grant.
         held_s: Time for which the peer delayed the answer, in seconds.
+        samples: Positions of primaries that the peer knows, or None.
     """
 
     tables: dict[str, TableAnswer]
     grant_s: float
     held_s: float = 0.0
+    samples: SampleAnswer | None = None
 
 
 class Ping(Message, frozen=True, kw_only=True, tag="ping"):
--- a/src/heatherpier/leases/_table_sync.py
+++ b/src/heatherpier/leases/_table_sync.py
@@ -7,6 +7,7 @@
 from heatherpier.leases._grants import Grants
 from heatherpier.leases._messages import CopyAnswer, CopyRequest, TableAnswer
 from heatherpier.leases._peers import REQUEST_TIMEOUT_S
+from heatherpier.leases._sample_exchange import SampleExchange
 from heatherpier.tables import Changes, Row, TableCopy
 from heatherpier.telemetry import get_logger
 from heatherpier.timers import Timers
@@ -26,6 +27,7 @@
         copies: Copies of tables by name, shared with peers.
         granted_table: Name of the table that grants rest on.
         grants: Grants received from peers and given to them.
+        exchange: Shares positions of primaries with the peer that is followed.
         timers: Timer service.
     """
 
@@ -36,11 +38,13 @@
         copies: dict[str, TableCopy],
         granted_table: str,
         grants: Grants,
+        exchange: SampleExchange,
         timers: Timers,
     ) -> None:
         self._network = network
         self._copies = copies
         self._grants = grants
+        self._exchange = exchange
         self._timers = timers
         self._granted_table = granted_table
         # Version and deflated content of large rows, by table and key.
@@ -81,8 +85,16 @@
         Returns:
             Whether the peer answered.
         """
-        answer = await self._request_copies(peer, hold_s=hold_s, with_grant=False)
-        return answer is not None
+        sent_at = self._timers.elapsed()
+        answer = await self._request_copies(
+            peer, hold_s=hold_s, with_grant=False, shares=True
+        )
+        if answer is None:
+            return False
+        self._exchange.take_answer(
+            peer.name, answer.samples, sent_after=sent_at + answer.held_s
+        )
+        return True
 
     async def _request_copies(
         self,
@@ -91,6 +103,7 @@
         hold_s: float,
         with_grant: bool,
         tables: list[str] | None = None,
+        shares: bool = False,
     ) -> CopyAnswer | None:
         versions = {name: copy.version for name, copy in self._copies.items()}
         req = CopyRequest(
@@ -99,6 +112,8 @@
             support=with_grant,
             tables=tables,
             deflate=True,
+            samples=self._exchange.report_to(peer.name) if shares else None,
+            shares=shares,
         )
         sent_at = self._timers.elapsed()
         try:
@@ -165,6 +180,8 @@
 
     async def _on_copy(self, sender: str, req: CopyRequest) -> Message | None:
         began = self._timers.elapsed()
+        if self._exchange.take_report(req.samples):
+            self._wake()
         if req.hold_s > 0 and not self._has_changes(req):
             await self._wait_for_changes(min(req.hold_s, MAX_LONG_POLL_S))
         return CopyAnswer(
@@ -175,6 +192,7 @@
             },
             grant_s=self._grants.give() if req.support else 0.0,
             held_s=self._timers.elapsed() - began,
+            samples=self._exchange.answer_to(sender) if req.shares else None,
         )
 
     def _has_changes(self, req: CopyRequest) -> bool:
@@ -193,6 +211,10 @@
             return
 
     def _note_changes(self, row: Row) -> None:
+        self._wake()
+
+    def _wake(self) -> None:
+        """Ends the delay of the requests that are held."""
         self._changed.set()
         self._changed = asyncio.Event()
 
--- a/src/heatherpier/leases/_table_watch.py
+++ b/src/heatherpier/leases/_table_watch.py
@@ -69,7 +69,9 @@
             await self._timers.sleep(RETRY_S)
 
     async def _follow(self, peer: Peer) -> bool:
-        answered = await self._table_sync.long_poll(peer, hold_s=LONG_POLL_S)
+        # The first answer comes at once: a started proxy needs the positions in it.
+        hold_s = 0.0 if self.direct.is_set() else LONG_POLL_S
+        answered = await self._table_sync.long_poll(peer, hold_s=hold_s)
         if answered and self._copy.age_s() < MAX_AGE_S:
             return True
         self._ranking.back_off(peer, for_s=PEER_BACKOFF_S)
--- a/src/heatherpier/leases/tests/test_random_faults.py
+++ b/src/heatherpier/leases/tests/test_random_faults.py
@@ -18,9 +18,9 @@
     find_stale_reads,
 )
 from heatherpier.bench._fault_injector import FaultInjector
-from heatherpier.bench._simulated_deployment import MAX_AGE_S
+from heatherpier.bench._simulated_deployment import MAX_AGE_S, MAX_CONNECTIONS
 from heatherpier.bench._simulated_group import SimulatedGroupControl
-from heatherpier.leases import FleetView, LeadershipRecord
+from heatherpier.leases import FleetView, LeadershipRecord, SampleExchange
 from heatherpier.leases._fence import Fence
 from heatherpier.serving import PositionHistory
 from heatherpier.statements import Done
@@ -30,6 +30,9 @@
 RESTORE_SEEDS = range(100, 110)
 FAULTS_S = 30.0
 MAX_FAULT_S = 7.0
+# In a fleet of this size, some proxies follow voters, and share position samples.
+PROXIES = 11
+FOLLOWER_SEEDS = range(300, 304)
 # Restores are drawn this many times as often as another kind of fault.
 RESTORE_WEIGHT = 3
 # Mean time from the start of one fault to the start of the next.
@@ -158,10 +161,15 @@
         instance.unresponsive = False
 
 
-async def run_seed(timers, seed, *, restores=False):
+async def run_seed(timers, seed, *, restores=False, proxies=4):
     """Returns the group, the history of the calls, and the end of the faults."""
     history = CallHistory()
-    async with SimulatedDeployment(timers=timers, seed=seed) as deployment:
+    async with SimulatedDeployment(
+        timers=timers,
+        seed=seed,
+        proxies=proxies,
+        connections=max(MAX_CONNECTIONS, 5 * proxies),
+    ) as deployment:
         stop = asyncio.Event()
         load = [
             asyncio.create_task(generate_load(deployment, name, history, stop))
@@ -193,6 +201,25 @@
     check_guarantees(*await run_seed(timers, seed, restores=True))
 
 
+@pytest.mark.parametrize("seed", FOLLOWER_SEEDS)
+async def test_guarantees_hold_in_a_fleet_with_followers_of_voters(timers, seed):
+    check_guarantees(*await run_seed(timers, seed, restores=True, proxies=PROXIES))
+
+
+async def test_shared_samples_with_too_late_a_time_are_detected(timers, monkeypatch):
+    take_answer = SampleExchange.take_answer
+
+    def take_later_answer(self, peer, answer, *, sent_after):
+        take_answer(self, peer, answer, sent_after=sent_after + 5.0)
+
+    monkeypatch.setattr(SampleExchange, "take_answer", take_later_answer)
+    for seed in FOLLOWER_SEEDS:
+        group, history, _ = await run_seed(timers, seed, proxies=PROXIES)
+        if find_stale_reads(group, history):
+            return
+    pytest.fail("no seed detected the fault")
+
+
 async def test_counting_rows_of_an_earlier_epoch_is_detected(timers, monkeypatch):
     monkeypatch.setattr(LeadershipRecord, "counts", property(lambda self: True))
     monkeypatch.setattr(FleetView, "needs_confirmation", lambda self, service: False)
--- a/src/heatherpier/leases/tests/test_stale_grants_and_reads.py
+++ b/src/heatherpier/leases/tests/test_stale_grants_and_reads.py
@@ -6,7 +6,13 @@
 
 from heatherpier.bench import ask
 from heatherpier.fleet import Peer
-from heatherpier.leases import Changing, FleetView, Grants, PeerTableSync
+from heatherpier.leases import (
+    Changing,
+    FleetView,
+    Grants,
+    PeerTableSync,
+    SampleExchange,
+)
 from heatherpier.leases._messages import CopyAnswer, TableAnswer
 from heatherpier.leases._records import encode_leadership, encode_member
 from heatherpier.statements import Done
@@ -83,6 +89,11 @@
         return self.answer
 
 
+class NoSamples:
+    def newest(self):
+        return {}
+
+
 async def test_a_grant_is_not_counted_without_the_change_that_its_voter_knows(
     timers, view
 ):
@@ -108,6 +119,7 @@
         copies={"fleet": view.copy},
         granted_table="fleet",
         grants=Grants("a", view=view, timers=timers),
+        exchange=SampleExchange(NoSamples(), clock_id=1, timers=timers),
         timers=timers,
     )
     await sync.request_grant(peer)
--- a/src/heatherpier/serving/__init__.py
+++ b/src/heatherpier/serving/__init__.py
@@ -7,6 +7,7 @@
 from heatherpier.serving._replica_selector import ReplicaSelector
 from heatherpier.serving._runner import Runner
 from heatherpier.serving._session import CallerSession, find_route
+from heatherpier.serving._shared_positions import SharedPositions
 
 __all__ = [
     "CallerSession",
@@ -17,5 +18,6 @@
     "Runner",
     "PositionSample",
     "ServingMetrics",
+    "SharedPositions",
     "find_route",
 ]
--- a/src/heatherpier/serving/_positions.py
+++ b/src/heatherpier/serving/_positions.py
@@ -1,6 +1,9 @@
 """Log positions of primaries at known times, which bound the age of reads."""
 
+import asyncio
 from collections import deque
+from collections.abc import Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass
 
 from heatherpier.groups import LogPosition
@@ -13,6 +16,9 @@
 # Time that a read may spend on the way to the instance. The instance compares positions
 # when the read arrives, so the sample must still be young enough then.
 TRANSIT_ALLOWANCE_S = 0.1
+# Reads of one service that go to the primary for want of a sample at the same time.
+# One is enough if its answer arrives; the second bridges a lost answer.
+MAX_SEEKERS = 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,6 +46,43 @@
     def __init__(self, *, timers: Timers) -> None:
         self._timers = timers
         self._samples: deque[PositionSample] = deque()
+        self._seekers = 0
+        self._changed = asyncio.Event()
+
+    @property
+    def is_sought(self) -> bool:
+        """Whether enough reads are on their way to the primary for a sample."""
+        return self._seekers >= MAX_SEEKERS
+
+    @contextmanager
+    def seeking(self) -> Iterator[None]:
+        """Counts a read that goes to the primary for want of a sample."""
+        self._seekers += 1
+        try:
+            yield
+        finally:
+            self._seekers -= 1
+            self._wake()
+
+    async def wait_for_change(self, *, until: float) -> bool:
+        """Waits for a sample, or for the end of a read that seeks one.
+
+        Args:
+            until: Monotonic time in seconds at which the wait ends.
+
+        Returns:
+            Whether there was a change in time.
+        """
+        try:
+            async with self._timers.timeout_at(until):
+                await self._changed.wait()
+        except TimeoutError:
+            return False
+        return True
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
 
     @property
     def newest(self) -> PositionSample | None:
@@ -67,6 +110,7 @@
             ):
                 return
         self._samples.append(PositionSample(taken_at, position))
+        self._wake()
         while self._samples[0].taken_at < taken_at - SAMPLE_RETENTION_S:
             self._samples.popleft()
 
--- a/src/heatherpier/serving/_runner.py
+++ b/src/heatherpier/serving/_runner.py
@@ -293,8 +293,10 @@
                 )
                 if isinstance(result, AnswerLost):
                     unanswered.append(target.name)
+            elif await self._awaits_sample(statement):
+                continue
             else:
-                attempted, result = await self._read_round(statement, unanswered)
+                attempted, result = await self._seek_in_round(statement, unanswered)
             answer = self._final_read_answer(statement, result)
             if answer is not None:
                 return answer
@@ -306,6 +308,34 @@
             await self._context.timers.sleep(pause_s)
             pause_s = min(pause_s * 2, MAX_ROUND_PAUSE_S)
 
+    async def _awaits_sample(self, statement: PendingStatement) -> bool:
+        """Waits for a position sample that other reads are about to bring.
+
+        Without a sample only the primary can serve a read. Reads that arrive together
+        would all queue there, although the first answer lets replicas serve the rest.
+
+        Returns:
+            Whether there was something to wait for; the read is then ranked anew.
+        """
+        context = self._context
+        positions = context.positions_of(statement.route.service)
+        lacks_sample = (
+            context.min_position(statement.route, statement.own_commit) is None
+        )
+        if not lacks_sample or not positions.is_sought:
+            return False
+        return await positions.wait_for_change(until=statement.unattempted_until())
+
+    async def _seek_in_round(
+        self, statement: PendingStatement, unanswered: list[str]
+    ) -> tuple[Target | None, AttemptResult]:
+        """Runs a round; counts it as one that seeks a sample if there is none."""
+        context = self._context
+        if context.min_position(statement.route, statement.own_commit) is not None:
+            return await self._read_round(statement, unanswered)
+        with context.positions_of(statement.route.service).seeking():
+            return await self._read_round(statement, unanswered)
+
     def _final_read_answer(
         self, statement: PendingStatement, result: AttemptResult
     ) -> Reply | None:
