Callers: a hint with anything behind its value is refused; backslashes in attributes

Cause: the pattern of SET @heatherpier_NAME took everything to the end of the statement for the value, so `SET @heatherpier_key='a', autocommit=0` set a key with a quote in it and swallowed the second assignment. Query attributes are turned into SQL literals and back; only doubled quotes were undone, and a backslash arrived doubled.

Ruled out: applying several assignments at once (the proxy answers one statement by one decision; the refusal says what is expected).

Change: the value is one string or one word; any other form of the statement is refused. The way back from a literal undoes all that the way there does.

--- a/src/heatherpier/callers/_literals.py
+++ b/src/heatherpier/callers/_literals.py
@@ -2,6 +2,7 @@
 
 import datetime
 import io
+import re
 import struct
 from decimal import Decimal, InvalidOperation
 
@@ -44,6 +45,8 @@
     ColumnType.DOUBLE: "<d",
 }
 ESCAPES = str.maketrans({"'": "''", "\\": "\\\\", "\0": "\\0"})
+ESCAPED = re.compile(r"''|\\\\|\\0")
+UNESCAPED = {"''": "'", "\\\\": "\\", "\\0": "\0"}
 
 
 def read_literal(
@@ -148,6 +151,13 @@
     return f"'{text.translate(ESCAPES)}'"
 
 
+def text_of_literal(literal: str) -> str:
+    """Returns the text that `text_literal` made a literal of; others are unchanged."""
+    if not literal.startswith("'"):
+        return literal
+    return ESCAPED.sub(lambda found: UNESCAPED[found[0]], literal[1:-1])
+
+
 def format_time(value: datetime.timedelta) -> str:
     """Returns a duration in MySQL's text format of TIME."""
     microseconds = value // datetime.timedelta(microseconds=1)
--- a/src/heatherpier/callers/_prepared.py
+++ b/src/heatherpier/callers/_prepared.py
@@ -16,7 +16,7 @@
 
 from heatherpier.callers._errors import MalformedPacketError, PacketTooLargeError
 from heatherpier.callers._limits import CallerLimits
-from heatherpier.callers._literals import read_literal, text_literal
+from heatherpier.callers._literals import read_literal, text_literal, text_of_literal
 
 # Matches a placeholder, or a quoted text or comment, in which a question mark is
 # no placeholder.
@@ -218,7 +218,7 @@
 ) -> dict[str, str]:
     indexes = range(statement.parameter_count, len(literals))
     return {
-        statement.types[index].name: literals[index].strip("'").replace("''", "'")
+        statement.types[index].name: text_of_literal(literals[index])
         for index in indexes
         if statement.types[index].name
     }
--- a/src/heatherpier/callers/_statements.py
+++ b/src/heatherpier/callers/_statements.py
@@ -15,7 +15,12 @@
 )
 
 MAX_HINT_CHARS = 8192
-SET_HINT = re.compile(r"SET\s+@heatherpier_(\w+)\s*:?=\s*(.+?)\s*;?\s*$", re.I | re.S)
+# The value is a string or one word, so that nothing behind it is taken for its end.
+SET_HINT = re.compile(
+    r"""SET\s+@heatherpier_(\w+)\s*:?=\s*(?:'([^']*)'|"([^"]*)"|([^\s,;'"]+))\s*;?\s*$""",
+    re.I,
+)
+ANY_SET_HINT = re.compile(r"SET\s+@heatherpier_", re.I)
 SELECT_TOKEN = re.compile(r"SELECT\s+@heatherpier_token\s*;?\s*$", re.I)
 SET_AUTOCOMMIT = re.compile(
     r"SET\s+(?:SESSION\s+|@@(?:session\.)?)?autocommit\s*=\s*"
@@ -83,7 +88,10 @@
     if SELECT_TOKEN.match(text):
         return SelectToken()
     if len(text) <= MAX_HINT_CHARS and (found := SET_HINT.match(text)):
-        return SetHint(found[1].lower(), found[2].strip("'\""))
+        value = next(item for item in found.groups()[1:] if item is not None)
+        return SetHint(found[1].lower(), value)
+    if ANY_SET_HINT.match(text):
+        return Unsupported(f"{text[:60]!r}, expected SET with one hint and its value")
     if found := SET_AUTOCOMMIT.match(text):
         return SetAutocommit(found[1] is not None)
     if SET_CHARSET.match(text):
--- a/src/heatherpier/callers/tests/test_statements.py
+++ b/src/heatherpier/callers/tests/test_statements.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from heatherpier.callers import Read, Unsupported, Write, classify
+from heatherpier.callers import Read, SetHint, Unsupported, Write, classify
 
 READS = [
     "SELECT 1",
@@ -138,3 +138,31 @@
     # Quadratic matching would not finish on this length. Text that is not SQL is
     # classified all the same; the instance rejects it.
     assert classify("SELECT " + part * 400_000) == kind
+
+
+@pytest.mark.parametrize(
+    ("sql", "name", "value"),
+    [
+        ("SET @heatherpier_key = 'claim-7'", "key", "claim-7"),
+        ('set @heatherpier_key := "a, b" ;', "key", "a, b"),
+        ("SET @heatherpier_max_age_ms=500", "max_age_ms", "500"),
+        ("SET @heatherpier_key = NULL", "key", "NULL"),
+        ("SET @heatherpier_token = ''", "token", ""),
+    ],
+)
+def test_one_hint_is_set(sql, name, value):
+    assert classify(sql) == SetHint(name, value)
+
+
+@pytest.mark.parametrize(
+    "sql",
+    [
+        "SET @heatherpier_key='a', autocommit=0",
+        "SET @heatherpier_key = 'a', @heatherpier_max_age_ms = 5",
+        "SET @heatherpier_key = 'a' 'b'",
+        "SET @heatherpier_key = a b",
+        "SET @heatherpier_key =",
+    ],
+)
+def test_a_hint_with_anything_behind_its_value_is_refused(sql):
+    assert isinstance(classify(sql), Unsupported)
