Known faults: successor with synchronous replicas, kept grants, heads, hints

With synchronous replicas, only the log that is furthest surely has all acknowledged commits, so a commit could be lost with a leaving replica. - A voter kept a grant for as long as the receiver counts it by its own clock, which may be 2% slower; the receiver could use the primary for 24 ms after the release. - A malformed head of the configuration ended the task that polls it. - The hint of the highest priority is 0 and was taken for none.

Ruled out: releasing earlier (the receiver can't know); skipping a malformed head without a line in the log.

Change: see the four places; the priority of a read has a function of its own.

--- a/src/heatherpier/_session.py
+++ b/src/heatherpier/_session.py
@@ -238,16 +238,13 @@
         )
 
     def _read_request(self, sql: str, group: Group, hints: SessionHints) -> Request:
-        accepts_stale = hints.max_age_ms is not None
-        default = Priority.AGED_READ if accepts_stale else Priority.SESSION_READ
-        # A read outside of a transaction never has the priority of a write, whatever
-        # its hint says.
-        priority = max(hints.priority or default, Priority.SESSION_READ)
         return replace(
             self._request(sql, group.spec.name, hints),
             min_position=self._positions.min_position(group.spec.name),
             max_age_ms=hints.max_age_ms,
-            priority=priority,
+            priority=read_priority(
+                hints.priority, accepts_stale=hints.max_age_ms is not None
+            ),
         )
 
     def _transaction_request(
@@ -266,3 +263,17 @@
         return Result(
             columns=(column,), rows=((self._positions.encode(self._signer),),)
         )
+
+
+def read_priority(hinted: Priority | None, *, accepts_stale: bool) -> Priority:
+    """Returns the priority of a read outside of a transaction.
+
+    It is never that of a write, whatever its hint says.
+
+    Args:
+        hinted: Priority that the caller gave, or None.
+        accepts_stale: Whether the read accepts data of a stated age.
+    """
+    if hinted is None:
+        return Priority.AGED_READ if accepts_stale else Priority.SESSION_READ
+    return max(hinted, Priority.SESSION_READ)
--- a/src/heatherpier/configuration/_follower.py
+++ b/src/heatherpier/configuration/_follower.py
@@ -132,8 +132,18 @@
         except PlatformError as exc:
             log.debug("reading the configuration head failed", reason=str(exc))
             return
-        if record is not None:
-            await self.activate_if_newer(decode_head(record), source=None)
+        if record is None:
+            return
+        try:
+            head = decode_head(record)
+        except ConfigurationError as exc:
+            log.error(
+                "malformed configuration head ignored",
+                version=record.version,
+                reason=str(exc),
+            )
+            return
+        await self.activate_if_newer(head, source=None)
 
     async def activate_if_newer(self, head: Head, *, source: Peer | None) -> None:
         """Activates ``head`` if it is newer than the active one.
--- a/src/heatherpier/configuration/_publisher.py
+++ b/src/heatherpier/configuration/_publisher.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from heatherpier.configuration._errors import (
+    ConfigurationError,
     SubmissionConflictError,
     SubmissionUnknownError,
 )
@@ -153,8 +154,17 @@
 
 
 def decode_head(record: Record) -> Head:
-    """Decodes the head in a record of the table service."""
-    return msgspec.json.decode(record.body, type=Head)
+    """Decodes the head in a record of the table service.
+
+    Raises:
+        ConfigurationError: The record holds no head.
+    """
+    try:
+        return msgspec.json.decode(record.body, type=Head)
+    except msgspec.MsgspecError as exc:
+        raise ConfigurationError(
+            f"malformed head, version {record.version}: {exc}"
+        ) from exc
 
 
 def _has_moved(current: Head | None, submission: Submission) -> bool:
--- a/src/heatherpier/configuration/tests/test_follower.py
+++ b/src/heatherpier/configuration/tests/test_follower.py
@@ -100,6 +100,21 @@
     assert configured.versions() == {1}
 
 
+async def test_malformed_head_does_not_end_the_polls(configured):
+    good = configured.platform.records[HEAD_KEY]
+    configured.platform.records[HEAD_KEY] = Record(
+        key=HEAD_KEY, version=2, body=b"not a head"
+    )
+    await configured.timers.sleep(10)
+    assert not any(task.done() for task in configured.tasks.values())
+    head = msgspec.json.decode(good.body) | {"version": 3}
+    configured.platform.records[HEAD_KEY] = Record(
+        key=HEAD_KEY, version=3, body=msgspec.json.encode(head)
+    )
+    await configured.timers.sleep(10)
+    assert configured.versions() == {3}
+
+
 async def test_data_centre_polls_the_head_at_most_3_times_a_second(configured):
     before = configured.platform.reads
     await configured.timers.sleep(100)
--- a/src/heatherpier/leases/_changer.py
+++ b/src/heatherpier/leases/_changer.py
@@ -46,8 +46,7 @@
 # A requested promotion takes effect within some hundred ms, up to a second.
 PROMOTION_EFFECT_TIMEOUT_S = 2.5
 
-# Whether an instance is not leaving, its position, and its name: the maximum is the
-# preferred successor.
+# Whether an instance is not leaving, its position, and its name.
 Candidate = tuple[bool, LogPosition, str]
 
 
@@ -293,9 +292,8 @@
     ) -> InstanceRecord | None:
         """Returns the instance to promote, or None if no candidate answers.
 
-        Instances that are not leaving come first, and of these the one whose log is
-        furthest. If the log does not reach ``min_position``, the choice waits until
-        `_may_promote` allows it.
+        If the log of the preferred one does not reach ``min_position``, the choice
+        waits until `_may_promote` allows it.
 
         Args:
             change: The change.
@@ -313,7 +311,7 @@
             ]
             if not candidates:
                 return None
-            _, position, name = max(candidates)
+            _, position, name = self._preferred(change, candidates)
             complete = min_position is not None and position >= min_position
             if complete or self._may_promote(
                 change, candidates, min_position, until=until
@@ -329,6 +327,19 @@
                 return self._registry.get(name)
             await self._timers.sleep(POLL_PERIOD_S)
 
+    def _preferred(
+        self, change: PrimaryChange, candidates: list[Candidate]
+    ) -> Candidate:
+        """Returns the best successor.
+
+        With synchronous replicas it is the one whose log is furthest, as only that log
+        surely has all acknowledged commits. Otherwise instances that are not leaving
+        come first.
+        """
+        if self._synchronous(change.service):
+            return max(candidates, key=lambda item: (item[1], item[0], item[2]))
+        return max(candidates)
+
     def _may_promote(
         self,
         change: PrimaryChange,
--- a/src/heatherpier/leases/_grants.py
+++ b/src/heatherpier/leases/_grants.py
@@ -14,6 +14,8 @@
 
 # Validity of one grant.
 GRANT_S = 1.2
+# Time for which a voter keeps a grant: the receiver's clock may be slower by 2%.
+GRANT_KEPT_S = GRANT_S * 1.02
 # A voter gives grants only while its own copy of the fleet's table is younger than
 # this. A change of primary without a release quorum waits for this time and `GRANT_S`,
 # so that the last grant on a copy without the change has expired.
@@ -51,7 +53,7 @@
         self._began = timers.elapsed()
         # The previous incarnation of this process may have given a grant just before it
         # ended. That grant is still to be kept.
-        self._given_until = self._began + GRANT_S
+        self._given_until = self._began + GRANT_KEPT_S
 
     def give(self) -> float:
         """Gives a peer a grant: no primary is released here until it expires.
@@ -61,7 +63,7 @@
         """
         if not self._may_grant():
             return 0.0
-        self._given_until = self._timers.elapsed() + GRANT_S
+        self._given_until = self._timers.elapsed() + GRANT_KEPT_S
         return GRANT_S
 
     def _may_grant(self) -> bool:
--- a/src/heatherpier/leases/tests/test_stale_grants_and_reads.py
+++ b/src/heatherpier/leases/tests/test_stale_grants_and_reads.py
@@ -13,6 +13,7 @@
     PeerTableSync,
     SampleExchange,
 )
+from heatherpier.leases._fence import MAX_CLOCK_DRIFT
 from heatherpier.leases._messages import CopyAnswer, TableAnswer
 from heatherpier.leases._records import encode_leadership, encode_member
 from heatherpier.statements import Done
@@ -125,3 +126,13 @@
     await sync.request_grant(peer)
     assert view.leaders["claims"].state == changing
     assert view.copy.version == 57
+
+
+async def test_a_grant_is_kept_longer_than_a_slower_clock_counts_it(timers, view):
+    me = Peer(name="a", host="a", port=1, data_centre="north")
+    grants = Grants("a", view=view, timers=timers)
+    rows = (Row(key="member/a", version=1, body=encode_member(me)),)
+    view.copy.replace(Changes(rows=rows, version=1, as_of=timers.elapsed()))
+    granted_s = grants.give()
+    assert granted_s > 0
+    assert grants.given_remaining_s() >= granted_s * (1 + MAX_CLOCK_DRIFT)
--- a/src/heatherpier/leases/tests/test_synchronous_replicas.py
+++ b/src/heatherpier/leases/tests/test_synchronous_replicas.py
@@ -1,5 +1,7 @@
 """Changes of primary in a group with synchronous replicas."""
 
+import dataclasses
+
 import pytest
 
 from heatherpier.bench import SimulatedDeployment, ask
@@ -53,3 +55,18 @@
     await timers.sleep(3.0)
     reply = await ask(deployment.open("claims-exact"), "WRITE claim")
     assert isinstance(reply.outcome, Done)
+
+
+async def test_a_leaving_replica_with_the_last_position_is_promoted(
+    deployment, group, timers
+):
+    # Only the log that is furthest surely has all acknowledged commits.
+    commit = (LogPosition(1, 1), timers.now())
+    group.instances["claims-0"].log.append(commit)
+    furthest = group.instances["claims-2"]
+    furthest.log.append(commit)
+    leaving = dataclasses.replace(furthest.record.instance, leaving=True)
+    furthest.record = dataclasses.replace(furthest.record, instance=leaving)
+    deployment.register(furthest)
+    await lose_primary(deployment, group, timers)
+    assert commit[0] in {position for position, _ in group.primary().log}
