Leases: grants need readable rows; a row of an unknown state names no primary

Ruled out: ignoring such a row until it changes (its writer may be carrying out a change).

Change: a grant counts only if all tables of its answer were applied. A row that can't be decoded counts as unconfirmed, so the voters confirm the primary.

--- a/src/heatherpier/leases/_table_sync.py
+++ b/src/heatherpier/leases/_table_sync.py
@@ -129,20 +129,23 @@
             return None
         if not isinstance(answer, CopyAnswer):
             return None
-        for name, table in answer.tables.items():
-            copy = self._copies.get(name)
-            if copy is not None:
-                # The peer read its copy at this time or later, so the age
-                # that results here is never too low.
-                read_at = sent_at + answer.held_s
-                self._apply_table(copy, table, read_at=read_at, peer=peer)
-        if with_grant:
+        # The peer read its copies at this time or later, so the ages that result here
+        # are never too low.
+        read_at = sent_at + answer.held_s
+        applied = [
+            self._apply_table(copy, table, read_at=read_at, peer=peer)
+            for name, table in answer.tables.items()
+            if (copy := self._copies.get(name)) is not None
+        ]
+        # A grant counts only together with the changes that the peer knows.
+        if with_grant and all(applied):
             self._grants.receive(peer.name, asked_at=sent_at, grant_s=answer.grant_s)
         return answer
 
     def _apply_table(
         self, copy: TableCopy, table: TableAnswer, *, read_at: float, peer: Peer
-    ) -> None:
+    ) -> bool:
+        """Applies a peer's rows; returns False if they can't be read."""
         try:
             rows = tuple(_read_row(item, table.deflated) for item in table.rows)
         except DeflateError as exc:
@@ -153,7 +156,7 @@
                 version=table.version,
                 reason=str(exc),
             )
-            return
+            return False
         changes = Changes(rows=rows, version=table.version, as_of=read_at - table.age_s)
         if table.version < copy.version:
             # The peer may know a newer row although its copy is older: a peer that
@@ -162,7 +165,7 @@
             for row in changes.rows:
                 if row.version > copy.version:
                     copy.apply_row(row)
-            return
+            return True
         if table.rows:
             log.info(
                 "table updated from a peer",
@@ -177,6 +180,7 @@
             copy.replace(changes)
         else:
             copy.apply(changes)
+        return True
 
     async def _on_copy(self, sender: str, req: CopyRequest) -> Message | None:
         began = self._timers.elapsed()
--- a/src/heatherpier/leases/_view.py
+++ b/src/heatherpier/leases/_view.py
@@ -189,7 +189,11 @@
         try:
             state = decode_leadership(row.body)
         except msgspec.MsgspecError as exc:
+            # Another build may have written a state that this one does not know. The
+            # row before it no longer says who leads.
             _log_undecodable(row, exc)
+            self.leaders.pop(service, None)
+            self.unconfirmed[service] = row.version
             return
         record = LeadershipRecord(state=state, version=row.version)
         if record.counts:
--- a/src/heatherpier/leases/tests/test_stale_grants_and_reads.py
+++ b/src/heatherpier/leases/tests/test_stale_grants_and_reads.py
@@ -10,6 +10,7 @@
     Changing,
     FleetView,
     Grants,
+    Led,
     PeerTableSync,
     SampleExchange,
 )
@@ -136,3 +137,44 @@
     granted_s = grants.give()
     assert granted_s > 0
     assert grants.given_remaining_s() >= granted_s * (1 + MAX_CLOCK_DRIFT)
+
+
+async def test_a_grant_is_not_counted_with_rows_that_cannot_be_read(timers, view):
+    me, *peers = (
+        Peer(name=name, host=name, port=1, data_centre="north")
+        for name in ("a", "b", "c")
+    )
+    rows = tuple(
+        Row(key=f"member/{peer.name}", version=index, body=encode_member(peer))
+        for index, peer in enumerate((me, *peers), start=1)
+    )
+    view.copy.replace(Changes(rows=rows, version=5, as_of=timers.elapsed()))
+    table = TableAnswer(
+        version=6,
+        age_s=0.0,
+        rows=[("leader/claims", 6, b"not deflated")],
+        whole=False,
+        deflated=["leader/claims"],
+    )
+    grants = Grants("a", view=view, timers=timers)
+    sync = PeerTableSync(
+        network=AnsweringNetwork(CopyAnswer(tables={"fleet": table}, grant_s=1.2)),
+        copies={"fleet": view.copy},
+        granted_table="fleet",
+        grants=grants,
+        exchange=SampleExchange(NoSamples(), clock_id=1, timers=timers),
+        timers=timers,
+    )
+    await sync.request_grant(peers[0])
+    assert grants.granted_until() == 0.0
+
+
+async def test_a_row_of_an_unknown_state_says_no_more_who_leads(view):
+    led = Led(instance="claims-0", term=1)
+    view.copy.apply_row(
+        Row(key="leader/claims", version=3, body=encode_leadership(led))
+    )
+    assert not view.needs_confirmation("claims")
+    view.copy.apply_row(Row(key="leader/claims", version=4, body=b'{"type":"later"}'))
+    assert view.needs_confirmation("claims")
+    assert view.leadership_version("claims") == 4
