Leases: a lone proxy's lease ends after a restore; one way to ask an instance

Cause, found in the reading of the change: a lone voter grants its own lease without an end, and that end was kept with the lease from before a restore, so nothing but a release ended it. Confirmations had their own copy of the request for a replication status.

Ruled out: no kept lease for a lone proxy (writes would stop for no reason).

Change: a kept lease ends when the grants of the earlier epoch do, at the latest. Confirmations ask through the changer. The reason of a missing confirmation no longer claims a restore, since a row of an unknown state has the same effect.

--- a/src/heatherpier/_proxy_engine.py
+++ b/src/heatherpier/_proxy_engine.py
@@ -217,7 +217,7 @@
             releases=self._releases,
             coordinators=self._coordinators,
             registry=self._registry,
-            control=ports.control,
+            changer=self._changer,
             instances_known_s=self._instances_current_s,
             timers=timers,
         )
--- a/src/heatherpier/leases/_changer.py
+++ b/src/heatherpier/leases/_changer.py
@@ -203,14 +203,15 @@
             for item in self._registry.of_service(change.service)
             if item.name != change.previous
         ]
-        answers = await asyncio.gather(*(self._fetch_status(item) for item in records))
+        answers = await asyncio.gather(*(self.fetch_status(item) for item in records))
         return {
             item.name: answer
             for item, answer in zip(records, answers, strict=True)
             if answer is not None
         }
 
-    async def _fetch_status(self, record: InstanceRecord) -> ReplicationStatus | None:
+    async def fetch_status(self, record: InstanceRecord) -> ReplicationStatus | None:
+        """Returns the replication status of an instance, or None without an answer."""
         try:
             return await self._control.replication_status(
                 record, timeout_s=CONTROL_TIMEOUT_S
@@ -375,7 +376,7 @@
             above = min(above, change.term)
         until = self._timers.now() + PROMOTION_EFFECT_TIMEOUT_S
         while self._timers.now() < until:
-            status = await self._fetch_status(target)
+            status = await self.fetch_status(target)
             if status is not None and status.leads and status.term > above:
                 return status
             await self._timers.sleep(POLL_PERIOD_S)
--- a/src/heatherpier/leases/_confirmations.py
+++ b/src/heatherpier/leases/_confirmations.py
@@ -18,7 +18,6 @@
 
 from heatherpier.discovery import (
     MISSING_GRACE_S,
-    InstanceRecord,
     InstanceRegistry,
 )
 from heatherpier.fleet import Message, Peer, PeerNetwork, PeerUnreachableError
@@ -26,19 +25,11 @@
     COORDINATOR_MAX_STALENESS_S,
     PROMOTION_EFFECT_TIMEOUT_S,
     PROMOTION_REQUEST_S,
+    PrimaryChanger,
 )
 from heatherpier.leases._coordinators import ChangeCoordinators
-from heatherpier.leases._fence import (
-    CONTROL_TIMEOUT_S,
-    MAX_CLOCK_DRIFT,
-    PrimaryChange,
-)
+from heatherpier.leases._fence import MAX_CLOCK_DRIFT, PrimaryChange
 from heatherpier.leases._grants import GRANT_MAX_STALENESS_S, GRANT_S, grant_quorum
-from heatherpier.leases._interface import (
-    ControlError,
-    InstanceControl,
-    ReplicationStatus,
-)
 from heatherpier.leases._leadership_rows import LeadershipRows
 from heatherpier.leases._messages import ConfirmAnswer, ConfirmRequest
 from heatherpier.leases._peers import REQUEST_TIMEOUT_S
@@ -80,7 +71,7 @@
         releases: Releases of leases at this proxy.
         coordinators: Keeps the set of changes that this proxy carries out.
         registry: The registered instances.
-        control: Control statements to instances.
+        changer: Asks instances for their replication status.
         instances_known_s: Returns for how long the list of instances has been up to
             date, in seconds; 0 if it is out of date.
         timers: Timer service.
@@ -96,7 +87,7 @@
         releases: LeaseReleases,
         coordinators: ChangeCoordinators,
         registry: InstanceRegistry,
-        control: InstanceControl,
+        changer: PrimaryChanger,
         instances_known_s: Callable[[], float],
         timers: Timers,
     ) -> None:
@@ -107,7 +98,7 @@
         self._releases = releases
         self._coordinators = coordinators
         self._registry = registry
-        self._control = control
+        self._changer = changer
         self._instances_known_s = instances_known_s
         self._timers = timers
         self._began = timers.elapsed()
@@ -251,7 +242,7 @@
         ]
         if len(claims) != 1:
             return None
-        status = await self._fetch_status(claims[0])
+        status = await self._changer.fetch_status(claims[0])
         if status is None or not status.leads:
             return None
         return Led(instance=claims[0].name, term=status.term)
@@ -313,7 +304,9 @@
         There is no leader if the highest term has none that answers.
         """
         records = self._registry.of_service(service)
-        answers = await asyncio.gather(*(self._fetch_status(item) for item in records))
+        answers = await asyncio.gather(
+            *(self._changer.fetch_status(item) for item in records)
+        )
         statuses = [
             (status, item.name)
             for status, item in zip(answers, records, strict=True)
@@ -331,17 +324,6 @@
         ]
         return (leaders[0] if len(leaders) == 1 else None), complete
 
-    async def _fetch_status(self, record: InstanceRecord) -> ReplicationStatus | None:
-        try:
-            return await self._control.replication_status(
-                record, timeout_s=CONTROL_TIMEOUT_S
-            )
-        except ControlError as exc:
-            log.info(
-                "replication status unavailable", instance=record.name, reason=str(exc)
-            )
-            return None
-
     def _make_change(
         self, service: str, leader: Led | None, *, expected: int
     ) -> PrimaryChange:
--- a/src/heatherpier/leases/_primary_leases.py
+++ b/src/heatherpier/leases/_primary_leases.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from heatherpier.discovery import InstanceRegistry
-from heatherpier.leases._grants import Grants
+from heatherpier.leases._grants import GRANT_MAX_STALENESS_S, GRANT_S, Grants
 from heatherpier.leases._records import Changing, Led
 from heatherpier.leases._view import FleetView
 from heatherpier.telemetry import get_logger
@@ -129,8 +129,7 @@
         if kept is not None and self._timers.elapsed() < kept.expires_at:
             return kept.lease
         return NoLease(
-            reason="the store was restored and no voter has confirmed the primary, "
-            f"epoch {self._view.copy.epoch}",
+            reason=f"no voter has confirmed the primary, epoch {self._view.copy.epoch}",
             changing=True,
         )
 
@@ -197,8 +196,8 @@
     def is_valid_or_draining(self, lease: Lease) -> bool:
         """Returns whether in-flight work under a lease may go on and its answers count.
 
-        No other instance is promoted before this proxy has released the lease, the
-        lease has expired, or the old primary was demoted and itself rejects writes.
+        No other instance is promoted before this proxy has released the lease or the
+        lease has expired.
         """
         if self.is_valid(lease):
             return True
@@ -252,6 +251,10 @@
         It is called before the view shows rows of the new epoch. A lease that an
         earlier restore has left keeps its expiry.
         """
+        as_of = self._timers.elapsed() - self._view.copy.age_s()
+        # A lone voter grants its own lease without an end, but a change of the earlier
+        # epoch waits for no grant beyond this time.
+        grants_end = as_of + GRANT_MAX_STALENESS_S + GRANT_S
         services = {item.service for item in self._registry.all()}
         for service in services | self._view.leaders.keys():
             if self._view.needs_confirmation(service):
@@ -259,7 +262,7 @@
             lease = self.lease(service)
             if isinstance(lease, Lease):
                 self._before_restore[service] = _BoundedLease(
-                    lease=lease, expires_at=self._expires_at()
+                    lease=lease, expires_at=min(self._expires_at(), grants_end)
                 )
             else:
                 self._before_restore.pop(service, None)
--- a/src/heatherpier/leases/tests/test_restores.py
+++ b/src/heatherpier/leases/tests/test_restores.py
@@ -6,17 +6,24 @@
 import pytest
 
 from heatherpier.bench import SimulatedDeployment, ask
+from heatherpier.discovery import InstanceRecord, InstanceRegistry
+from heatherpier.fleet import Peer
 from heatherpier.leases import (
     Changing,
+    FleetView,
+    Grants,
     LeadershipRecord,
     Lease,
     NoLease,
+    PrimaryLeases,
     decode_leadership,
+    encode_member,
 )
 from heatherpier.leases._grants import GRANT_MAX_STALENESS_S, GRANT_S
 from heatherpier.leases._releases import ReleaseResult
 from heatherpier.statements import Done
-from heatherpier.tables import epoch_of
+from heatherpier.tables import Changes, Row, TableCopy, epoch_of, make_version
+from heatherpier.upstreams import Instance
 
 # Time in which a majority of the voters confirms the primaries after a short restore.
 CONFIRMATION_S = 1.5
@@ -250,3 +257,36 @@
             for engine in deployment.engines.values():
                 assert len(engine.context.registry.all()) == 3
             await timers.sleep(0.1)
+
+
+async def test_the_lease_of_a_lone_proxy_ends_after_a_restore(timers):
+    # A lone voter grants its own lease without an end while its view is young.
+    me = Peer(name="a", host="a", port=1, data_centre="north")
+    view = FleetView(TableCopy("fleet", timers=timers), timers=timers)
+    registry = InstanceRegistry(timers=timers)
+    registry.put(
+        InstanceRecord(
+            instance=Instance(name="i", host="i", port=1, data_centre="north"),
+            service="claims",
+            claims_primary=True,
+        )
+    )
+    leases = PrimaryLeases(
+        "a",
+        view=view,
+        grants=Grants("a", view=view, timers=timers),
+        registry=registry,
+        timers=timers,
+    )
+
+    def read(version):
+        row = Row(key="member/a", version=version, body=encode_member(me))
+        return Changes(rows=(row,), version=version, as_of=timers.elapsed())
+
+    await timers.sleep(1.0)
+    view.copy.replace(read(5))
+    leases.note_registered(5)
+    view.copy.replace(read(make_version(1, 5)))
+    assert isinstance(leases.lease("claims"), Lease)
+    await timers.sleep(GRANT_MAX_STALENESS_S + GRANT_S)
+    assert isinstance(leases.lease("claims"), NoLease)
