Store client: a lost history without an epoch still means a new read

Two of four proxies whose watch started from a version of a discarded epoch repeated it for good, followed only each other, and never learned of the new primary.

Ruled out: too little time to recover beside load (both followed the same stale copy of each other for 30 s, one line each 0.25 s).

Change: a conflict or a lost history without the epoch keeps its meaning. Copies from peers are logged only if they bring something.

--- a/src/heatherpier/leases/_table_sync.py
+++ b/src/heatherpier/leases/_table_sync.py
@@ -166,7 +166,7 @@
                 if row.version > copy.version:
                     copy.apply_row(row)
             return True
-        if table.rows:
+        if any(_is_news(row, copy) for row in rows):
             log.info(
                 "table updated from a peer",
                 table=copy.table,
@@ -261,3 +261,8 @@
     if answer is None:
         return {}
     return {name: table.age_s for name, table in answer.tables.items()}
+
+
+def _is_news(row: Row, copy: TableCopy) -> bool:
+    known = copy.get(row.key)
+    return known is None or known.version < row.version
--- a/src/heatherpier/platform/_store.py
+++ b/src/heatherpier/platform/_store.py
@@ -222,7 +222,13 @@
             raise StoreRefusedError(f"{call}: status {resp.status}")
         if resp.status not in (STATUS_OK, STATUS_VERSION_CONFLICT, STATUS_HISTORY_LOST):
             raise StoreUnavailableError(f"{call}: status {resp.status}")
-        epoch = _parse_epoch(resp.headers.get(EPOCH_HEADER))
+        text = resp.headers.get(EPOCH_HEADER)
+        if text is None and resp.status != STATUS_OK:
+            # A conflict and a lost history mean the same in every epoch. If an answer
+            # without the epoch counted as none, a watch from before a restore would
+            # be repeated for good.
+            return resp.status, body, self._epoch.newest
+        epoch = _parse_epoch(text)
         self._epoch.note(epoch)
         return resp.status, body, epoch
 
--- a/src/heatherpier/platform/tests/test_store.py
+++ b/src/heatherpier/platform/tests/test_store.py
@@ -207,3 +207,24 @@
     fake_store.epochs = ["soon"]
     with pytest.raises(StoreUnavailableError, match="'soon'"):
         await client.read_table("t")
+
+
+@pytest.mark.parametrize(
+    ("status", "error"), [(410, HistoryLostError), (412, ChangeConflictError)]
+)
+async def test_a_rejection_without_an_epoch_keeps_its_meaning(
+    client, fake_store, status, error
+):
+    # Otherwise a proxy whose version is unknown after a restore never reads anew.
+    fake_store.epochs = ["2"]
+    await client.read_table("t")
+    fake_store.epochs = []
+    fake_store.status = status
+    version = make_version(2, 5)
+    call = (
+        client.watch("t", after=version, wait_s=0.0)
+        if status == 410
+        else client.put("t", "a", b"x", expected=version)
+    )
+    with pytest.raises(error):
+        await call
