--- a/src/heatherpier/bench/_fault_injector.py
+++ b/src/heatherpier/bench/_fault_injector.py
@@ -157,6 +157,10 @@
         await self._timers.sleep(duration_s)
         instance.lag_s = NORMAL_LAG_S
 
+    async def lose_statement_answer(self, duration_s: float) -> None:
+        """Makes an instance run its next statement and lose the answer."""
+        self._draw_instance().lose_answers += 1
+
     async def reset(self, duration_s: float) -> None:
         """Resets the connections of an instance."""
         self._reset(self._draw_instance())
--- a/src/heatherpier/platform/tests/_soak.py
+++ b/src/heatherpier/platform/tests/_soak.py
@@ -21,6 +21,8 @@
 MAX_FAULT_S = 5.0
 # Restores of the store are drawn this many times as often as another kind of fault.
 RESTORE_WEIGHT = 3
+# The same for answers that an instance loses after it has run a statement.
+LOST_ANSWER_WEIGHT = 15
 # Maximum time until the leases of proxies that don't answer have expired, a replica is
 # promoted, and back-offs have ended.
 RECOVERY_S = 25.0
@@ -105,6 +107,7 @@
     duration_s: float,
     drains_only: bool,
     restores: bool,
+    lost_answers: bool,
 ) -> None:
     """Injects random faults that may overlap, and ends them all."""
     rng = random.Random(seed)
@@ -136,6 +139,8 @@
         ]
     if restores:
         kinds += [faults.restore_store, faults.restore_before_change] * RESTORE_WEIGHT
+    if lost_answers:
+        kinds += [faults.lose_statement_answer] * LOST_ANSWER_WEIGHT
     await faults.inject(
         kinds,
         duration_s=duration_s,
@@ -154,6 +159,7 @@
     program: str = PROXY_PROGRAM,
     drains_only: bool = False,
     restores: bool = False,
+    lost_answers: bool = False,
 ) -> tuple[Deployment, CallHistory, bool]:
     """Runs a deployment under load and injects the random faults of one seed.
 
@@ -167,6 +173,7 @@
         drains_only: Whether the only kind of fault is a primary that drains while half
             of the proxies get no answers from the store.
         restores: Whether the store also comes back from older backups.
+        lost_answers: Whether instances also lose answers of statements that they ran.
 
     Returns:
         The deployment, the answers that callers got, and whether all proxies served
@@ -187,6 +194,7 @@
             duration_s=duration_s,
             drains_only=drains_only,
             restores=restores,
+            lost_answers=lost_answers,
         )
         served = await callers.wait_until_served(RECOVERY_S)
         stop.set()
--- a/src/heatherpier/platform/tests/test_soak.py
+++ b/src/heatherpier/platform/tests/test_soak.py
@@ -36,6 +36,8 @@
 # the table anew. It is also tested in platform/tests/test_store.py.
 RESTORE_SEEDS = (201, 604, *range(int(FIRST) + 1, int(LAST) + 1))
 
+LOST_ANSWER_SEEDS = (301, *range(int(FIRST) + 1, int(LAST) + 1))
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class SeededFault:
@@ -49,6 +51,7 @@
         drains_only: Whether the only fault from outside is a primary that drains while
             half of the proxies get no answers from the store.
         restores: Whether the store also comes back from older backups.
+        lost_answers: Whether instances also lose answers of statements that they ran.
     """
 
     program: str
@@ -56,6 +59,7 @@
     seeds: range = FAULT_SEEDS
     drains_only: bool = False
     restores: bool = False
+    lost_answers: bool = False
 
 
 SEEDED_FAULTS = {
@@ -111,6 +115,7 @@
             "attempts.AnswerLost = attempts.NotSent\n"
         ),
         breaks=("false refusals", "repeated writes"),
+        lost_answers=True,
     ),
 }
 CHOSEN = os.environ.get("HEATHERPIER_SOAK_FAULTS", "no-fence")
@@ -163,9 +168,17 @@
             program=fault.program + PROXY_PROGRAM,
             drains_only=fault.drains_only,
             restores=fault.restores,
+            lost_answers=fault.lost_answers,
         )
         broken = find_broken_promises(deployment, history)
         if any(broken[promise] for promise in fault.breaks):
             print(f"{name}: found by seed {seed}")
             return
     pytest.fail(f"no seed detected {name}")
+
+
+@pytest.mark.parametrize("seed", LOST_ANSWER_SEEDS)
+async def test_guarantees_hold_for_real_processes_when_answers_are_lost(tmp_path, seed):
+    check_seed(
+        *await run_seed(tmp_path, seed=seed, duration_s=FAULTS_S, lost_answers=True)
+    )
