Soak: relays between proxies, so that a lease that outlives its view is found

Cause: connections between proxies were never cut in the soak, so a release always arrived and a lease that never expires harmed nobody; the seeded fault lease-outlives-view was listed in KNOWN-RED.txt.

Change: each proxy reaches each other one through a relay of its own. Faults delay, cut one way, silence and reset these connections; one more isolates a proxy from the store and the others while the primary drains. The seeded fault plays only that one, as no-fence plays only drains.

--- a/src/heatherpier/bench/_fault_injector.py
+++ b/src/heatherpier/bench/_fault_injector.py
@@ -169,6 +169,14 @@
         """Makes an instance drain, then cancels the drain."""
         await self._drain(self._draw_instance(), duration_s)
 
+    async def drain_primary(self, duration_s: float) -> None:
+        """Makes the primary drain, then cancels the drain."""
+        primary = self._primary()
+        if primary is None:
+            await self._timers.sleep(duration_s)
+        else:
+            await self._drain(primary, duration_s)
+
     async def drain_primary_during_outage(self, duration_s: float) -> None:
         """Drains the primary while half of the proxies get no answers from the store."""
         primary, names = self._primary(), self._draw_half()
--- a/src/heatherpier/platform/tests/_deployment.py
+++ b/src/heatherpier/platform/tests/_deployment.py
@@ -9,6 +9,7 @@
 from heatherpier.bench import free_ports
 from heatherpier.bench._row_store import MemoryRowStore
 from heatherpier.bench._simulated_group import SimulatedGroup, SimulatedInstance
+from heatherpier.platform.tests._peer_relays import RELAYS_KEY, PeerRelays
 from heatherpier.platform.tests._stand_ins import (
     HOST,
     InstanceServer,
@@ -22,7 +23,13 @@
 MAX_AGE_S = 1.5
 STATEMENT_TIMEOUT_S = 0.8
 GRACE_S = 3.0
-PROXY_PROGRAM = "import sys; from heatherpier._serve import main; main(sys.argv[1])"
+PROXY_PROGRAM = (
+    "import sys\n"
+    "from heatherpier._serve import main\n"
+    "from heatherpier.platform.tests._peer_relays import redirect_peers\n"
+    "redirect_peers(sys.argv[1])\n"
+    "main(sys.argv[1])\n"
+)
 # Kind and maximum staleness in milliseconds of each database.
 DATABASES = {
     "exact": ("primary", 0),
@@ -93,6 +100,7 @@
         store: Store of the deployment.
         group: Group of the only service.
         proxies: All proxies, also those that have ended.
+        relays: Relays of the connections between proxies.
         callers_port: Port for callers, on the address of each proxy.
     """
 
@@ -115,6 +123,11 @@
             for number in range(proxies)
         ]
         self.callers_port, self._ready_port, self._internal_port, _ = free_ports(4)
+        self.relays = PeerRelays(
+            {proxy.name: proxy.host for proxy in self.proxies},
+            port=self._internal_port,
+            timers=self.timers,
+        )
 
     async def __aenter__(self) -> "Deployment":
         self.store.write("op", "config", json.dumps(self._configuration()).encode())
@@ -122,11 +135,14 @@
             server = InstanceServer(self.group, instance, timers=self.timers)
             self._instance_servers[instance.name] = (server, await server.start())
             self.register(instance)
+        relay_ports = await self.relays.start()
         for proxy, port in zip(
             self.proxies, free_ports(len(self.proxies)), strict=True
         ):
             await self._store_server.start(proxy.name, port=port)
-            self._write_settings(proxy, store_port=port)
+            self._write_settings(
+                proxy, store_port=port, relay_ports=relay_ports[proxy.name]
+            )
             await proxy.start()
         return self
 
@@ -135,6 +151,7 @@
             proxy.signal(signal.SIGCONT)
             proxy.signal(signal.SIGKILL)
             await proxy.wait_until_ended()
+        await self.relays.close()
         for server, _ in self._instance_servers.values():
             await server.close()
         await self._store_server.close()
@@ -165,7 +182,9 @@
         services = [{"name": SERVICE, "maxConns": 40}]
         return {"version": 1, "routes": routes, "services": services, "limits": {}}
 
-    def _write_settings(self, proxy: ProxyProcess, *, store_port: int) -> None:
+    def _write_settings(
+        self, proxy: ProxyProcess, *, store_port: int, relay_ports: dict[str, int]
+    ) -> None:
         number = self.proxies.index(proxy)
         settings = {
             "node": proxy.name,
@@ -181,6 +200,7 @@
             "platform": {"address": f"{HOST}:{store_port}"},
             "cloudApi": {"address": f"{HOST}:{store_port}"},
             "bounds": {"graceS": GRACE_S},
+            RELAYS_KEY: relay_ports,
         }
         path = self._folder / f"{proxy.name}.yaml"
         path.write_text(json.dumps(settings))
--- a/src/heatherpier/platform/tests/_soak.py
+++ b/src/heatherpier/platform/tests/_soak.py
@@ -14,6 +14,7 @@
     Deployment,
     ProxyProcess,
 )
+from heatherpier.platform.tests._peer_relays import PeerRelay
 
 READY_TIMEOUT_S = 20.0
 # Mean time from the start of one fault to the start of the next.
@@ -23,6 +24,8 @@
 RESTORE_WEIGHT = 3
 # The same for answers that an instance loses after it has run a statement.
 LOST_ANSWER_WEIGHT = 15
+# Longest delay of messages between two proxies.
+MAX_PEER_DELAY_S = 0.3
 # Maximum time until the leases of proxies that don't answer have expired, a replica is
 # promoted, and back-offs have ended.
 RECOVERY_S = 25.0
@@ -100,12 +103,76 @@
             proxy.signal(signal.SIGCONT)
 
 
+class PeerFaults:
+    """Injects faults of limited duration into connections between proxies.
+
+    Args:
+        deployment: Deployment whose connections are hit.
+        faults: Faults of instances and the store.
+        rng: Draws the connections that are hit.
+    """
+
+    def __init__(
+        self, deployment: Deployment, *, faults: FaultInjector, rng: random.Random
+    ) -> None:
+        self._deployment = deployment
+        self._relays = deployment.relays
+        self._timers = deployment.timers
+        self._faults = faults
+        self._rng = rng
+
+    def kinds(self) -> list[Fault]:
+        """Returns all kinds of faults of this class."""
+        return [
+            self._cut_one_way,
+            self._delay,
+            self._reset,
+            self._silence,
+            self.drain_behind_isolated_proxy,
+        ]
+
+    def _draw_relay(self) -> PeerRelay:
+        return self._rng.choice(self._relays.all())
+
+    async def _cut_one_way(self, duration_s: float) -> None:
+        relay, answers = self._draw_relay(), self._rng.random() < 0.5
+        side = "answers_cut" if answers else "cut"
+        setattr(relay, side, True)
+        await self._timers.sleep(duration_s)
+        setattr(relay, side, False)
+
+    async def _delay(self, duration_s: float) -> None:
+        relay = self._draw_relay()
+        relay.delay_s = self._rng.uniform(0.0, MAX_PEER_DELAY_S)
+        await self._timers.sleep(duration_s)
+        relay.delay_s = 0.0
+
+    async def _reset(self, duration_s: float) -> None:
+        self._draw_relay().reset()
+
+    async def _silence(self, duration_s: float) -> None:
+        self._draw_relay().silence()
+
+    async def drain_behind_isolated_proxy(self, duration_s: float) -> None:
+        """Drains the primary while one proxy reaches nothing but the instances.
+
+        Leases on the old primary have to end there without a message.
+        """
+        name = self._rng.choice(self._deployment.proxies).name
+        store_faults = self._deployment.store.faults
+        store_faults.unresponsive_to.add(name)
+        with self._relays.isolated(name):
+            await self._faults.drain_primary(duration_s)
+        store_faults.unresponsive_to.discard(name)
+
+
 async def inject_faults(
     deployment: Deployment,
     *,
     seed: int,
     duration_s: float,
     drains_only: bool,
+    isolations_only: bool,
     restores: bool,
     lost_answers: bool,
 ) -> None:
@@ -120,8 +187,11 @@
         register=deployment.register,
         reset=deployment.reset,
     )
+    peers = PeerFaults(deployment, faults=faults, rng=rng)
     kinds: list[Fault] = [faults.drain_primary_during_outage]
-    if not drains_only:
+    if isolations_only:
+        kinds = [peers.drain_behind_isolated_proxy]
+    elif not drains_only:
         kinds += [
             faults.crash,
             faults.hang,
@@ -136,6 +206,7 @@
             faults.lose_write_answer,
             faults.drop_store_history,
             *ProcessFaults(deployment, rng=rng).kinds(),
+            *peers.kinds(),
         ]
     if restores:
         kinds += [faults.restore_store, faults.restore_before_change] * RESTORE_WEIGHT
@@ -158,6 +229,7 @@
     proxies: int = 4,
     program: str = PROXY_PROGRAM,
     drains_only: bool = False,
+    isolations_only: bool = False,
     restores: bool = False,
     lost_answers: bool = False,
 ) -> tuple[Deployment, CallHistory, bool]:
@@ -172,6 +244,8 @@
             first argument.
         drains_only: Whether the only kind of fault is a primary that drains while half
             of the proxies get no answers from the store.
+        isolations_only: Whether the only kind of fault is a primary that drains while
+            one proxy reaches neither the store nor other proxies.
         restores: Whether the store also comes back from older backups.
         lost_answers: Whether instances also lose answers of statements that they ran.
 
@@ -193,6 +267,7 @@
             seed=seed,
             duration_s=duration_s,
             drains_only=drains_only,
+            isolations_only=isolations_only,
             restores=restores,
             lost_answers=lost_answers,
         )
--- a/src/heatherpier/platform/tests/test_soak.py
+++ b/src/heatherpier/platform/tests/test_soak.py
@@ -1,8 +1,7 @@
 """Guarantees to callers of real proxies under random faults.
 
 ``HEATHERPIER_SOAK_SEEDS=100-149 make soak`` runs more seeds, and
-``HEATHERPIER_SOAK_FAULTS=all make soak`` looks for each seeded fault; KNOWN-RED.txt names
-the one that is not found. The logs of the proxies are in the temporary folder of the
+``HEATHERPIER_SOAK_FAULTS=all make soak`` looks for each seeded fault. The logs of the proxies are in the temporary folder of the
 test, which pytest names and keeps.
 """
 
@@ -50,6 +49,8 @@
         seeds: Seeds of which one has to find it.
         drains_only: Whether the only fault from outside is a primary that drains while
             half of the proxies get no answers from the store.
+        isolations_only: Whether the only fault from outside is a primary that drains
+            while one proxy reaches neither the store nor other proxies.
         restores: Whether the store also comes back from older backups.
         lost_answers: Whether instances also lose answers of statements that they ran.
     """
@@ -58,6 +59,7 @@
     breaks: tuple[str, ...]
     seeds: range = FAULT_SEEDS
     drains_only: bool = False
+    isolations_only: bool = False
     restores: bool = False
     lost_answers: bool = False
 
@@ -74,14 +76,14 @@
         seeds=range(1, 6),
         drains_only=True,
     ),
-    # A lease stays valid long after its view became too old. The soak does not find it
-    # yet: connections between proxies are never cut, so releases always arrive.
+    # A lease stays valid long after its view became too old.
     "lease-outlives-view": SeededFault(
         program=(
             "import heatherpier.leases._primary_leases as leases\n"
             "leases.LEASE_S = 60.0\n"
         ),
         breaks=("old commits", "stale reads"),
+        isolations_only=True,
     ),
     # Tokens are given out again after a restore of the store.
     "tokens-repeat": SeededFault(
@@ -167,6 +169,7 @@
             duration_s=FAULTS_S,
             program=fault.program + PROXY_PROGRAM,
             drains_only=fault.drains_only,
+            isolations_only=fault.isolations_only,
             restores=fault.restores,
             lost_answers=fault.lost_answers,
         )
