Start: load only what the platform's border needs; callers wait for all tables

Cause: after a loss of power callers wait for the start of the proxies. 0.63 to 0.67 s of processor time went into imports: TLS certificates that a library reads at import, the MySQL driver, the packages of the MySQL border for the sake of one data class, collections of garbage while modules load, the interpreter's site packages. The first statements came before the list of instances and were refused for want of a fresh instance.

Ruled out: an HTTP client of our own, and a listener that opens before the HTTP libraries are loaded, since nothing can be served then.

--- a/deploy/serve.py
+++ b/deploy/serve.py
@@ -1,10 +1,23 @@
-"""Runs a proxy on the users' platform from the source tree, without installing it."""
+"""Runs a proxy on the users' platform from the source tree, without installing it.
 
+Callers of a VM that lost power wait for this start, so nothing is loaded that the proxy
+does not need.
+"""
+
+import gc
+import os
 import sys
 from pathlib import Path
 
+# No connection of the proxy uses TLS, but a library reads the system's certificates
+# when it is imported, unless there are none.
+os.environ["SSL_CERT_FILE"] = os.devnull
+# Modules stay loaded, so a collection while they are imported frees nothing.
+gc.disable()
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "src"))
 
 from heatherpier._serve import main  # noqa: E402
 
+gc.freeze()
+gc.enable()
 main()
--- a/src/heatherpier/_platform_proxy.py
+++ b/src/heatherpier/_platform_proxy.py
@@ -46,9 +46,9 @@
 from heatherpier.timers import LoopTimers
 
 log = get_logger("proxy")
-# Time for which new callers wait for a starting proxy to learn the configuration. A
+# Time for which new callers wait for a starting proxy to read the tables. A
 # caller gives up a session that is not opened within 2 s.
-FIRST_CONFIGURATION_S = 1.2
+FIRST_TABLES_S = 1.2
 LOG_FLUSH_PERIOD_S = 0.1
 # The fractions below are of the grace period, the time from the stop signal to the kill.
 
@@ -156,8 +156,8 @@
             listener = LineListener(
                 open_session=engine.open_session,
                 limits=lambda: engine.context.routes.table.limits,
-                wait_until_configured=lambda: engine.wait_until_configured(
-                    limit_s=FIRST_CONFIGURATION_S
+                wait_until_known=lambda: engine.wait_until_known(
+                    limit_s=FIRST_TABLES_S
                 ),
             )
             await listener.start(host=cfg.host, port=cfg.callers_port)
--- a/src/heatherpier/_proxy.py
+++ b/src/heatherpier/_proxy.py
@@ -28,7 +28,7 @@
 from heatherpier.settings import Document, ProxySettings
 from heatherpier.telemetry import AdminServer, JsonHandler, Metrics, get_logger
 from heatherpier.timers import LoopTimers
-from heatherpier.upstreams import MysqlConnector
+from heatherpier.upstreams.mysql import MysqlConnector
 from heatherpier.writes import KeyGenerator, Writer
 
 log = get_logger("proxy")
--- a/src/heatherpier/_proxy_engine.py
+++ b/src/heatherpier/_proxy_engine.py
@@ -120,7 +120,7 @@
         self._timers = timers
         self._rng = rng
         self._routes = ActiveRoutes()
-        self._configured = asyncio.Event()
+        self._known = asyncio.Event()
         self._registry = InstanceRegistry(timers=timers)
         self._health = InstanceHealth(timers=timers)
         self._configurations = TableCopy(layout.configuration, timers=timers)
@@ -132,6 +132,8 @@
         self._registry.subscribe(self._forget_if_removed)
         self._instances_current_since = timers.elapsed()
         self._instances.subscribe_to_epochs(self._restart_instances)
+        for copy in self._copies:
+            copy.subscribe(self._note_known)
         self.view = FleetView(fleet, timers=timers)
         self._grants = Grants(location.me.name, view=self.view, timers=timers)
         leases = PrimaryLeases(
@@ -238,6 +240,7 @@
             registry=self._registry,
             control=self._ports.control,
             promotions=self._ports.promotions,
+            prober=self._prober,
             synchronous=self._synchronous_replicas,
             timers=self._timers,
         )
@@ -323,17 +326,29 @@
         """Returns whether the configuration and at least one instance are known."""
         return self._routes.known and bool(self._registry.all())
 
-    async def wait_until_configured(self, *, limit_s: float) -> None:
-        """Waits for the first configuration, at most ``limit_s`` seconds."""
-        if self._configured.is_set():
+    async def wait_until_known(self, *, limit_s: float) -> None:
+        """Waits for configuration, instances and members, at most ``limit_s`` seconds.
+
+        Statements that came earlier would be refused for want of a fresh instance.
+        """
+        if self._known.is_set():
             return
         try:
             async with self._timers.timeout(limit_s):
-                await self._configured.wait()
+                await self._known.wait()
         except TimeoutError:
-            # Sessions are then refused, since no database is known.
+            # Sessions or their statements are then refused, since no database or no
+            # instance is known.
             return
 
+    def _note_known(self, row: Row) -> None:
+        """Ends the wait of callers once rows of all three tables are known.
+
+        All rows of a read are applied at once, before a waiting caller goes on.
+        """
+        if self.can_serve() and self.view.members:
+            self._known.set()
+
     def open_session(self, database: str) -> CallerSession | Failed:
         """Returns a session for a new caller, or the answer that rejects the caller."""
         route = find_route(self.context, database)
@@ -355,7 +370,6 @@
             )
             return
         if self._routes.replace_if_newer(table):
-            self._configured.set()
             self._update_watchers(table)
 
     def _update_watchers(self, table: RoutingTable) -> None:
--- a/src/heatherpier/bench/_call_history.py
+++ b/src/heatherpier/bench/_call_history.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 
 from heatherpier.bench._simulated_group import SimulatedGroup
-from heatherpier.groups import LogPosition
+from heatherpier.positions import LogPosition
 
 
 @dataclass(slots=True)
--- a/src/heatherpier/bench/_demo.py
+++ b/src/heatherpier/bench/_demo.py
@@ -25,7 +25,8 @@
 from heatherpier.bench._processes import Processes
 from heatherpier.bench._report import PrimaryLoss, format_report, unserved_classes
 from heatherpier.groups import Role
-from heatherpier.upstreams import Connector, Instance, MysqlConnector, UpstreamError
+from heatherpier.upstreams import Connector, Instance, UpstreamError
+from heatherpier.upstreams.mysql import MysqlConnector
 
 # Rate of operations in each group. The stand-in instance runs one writing
 # transaction at a time, and a transaction from a remote data centre occupies the
--- a/src/heatherpier/bench/_instance.py
+++ b/src/heatherpier/bench/_instance.py
@@ -7,7 +7,8 @@
 
 from heatherpier.bench._engine import Engine, LogEntry, decode_entries, encode_entries
 from heatherpier.bench._instance_faults import InstanceFaults
-from heatherpier.groups import InstanceStatus, LogPosition, Role
+from heatherpier.groups import InstanceStatus, Role
+from heatherpier.positions import LogPosition
 from heatherpier.timers import Timers
 from heatherpier.upstreams import (
     Connection,
--- a/src/heatherpier/bench/_instance_server.py
+++ b/src/heatherpier/bench/_instance_server.py
@@ -21,7 +21,8 @@
 from heatherpier.callers import PacketAdapter
 from heatherpier.timers import LoopTimers
 from heatherpier.upstreams import Instance as Address
-from heatherpier.upstreams import MysqlConnector, Result, StatementError
+from heatherpier.upstreams import Result, StatementError
+from heatherpier.upstreams.mysql import MysqlConnector
 
 # Time that a new connection takes besides the network delay.
 CONNECT_DELAY_S = 0.012
--- a/src/heatherpier/bench/_instance_session.py
+++ b/src/heatherpier/bench/_instance_session.py
@@ -5,7 +5,8 @@
 from contextlib import asynccontextmanager
 
 from heatherpier.bench._instance import Instance
-from heatherpier.groups import InstanceStatus, LogPosition, Role
+from heatherpier.groups import InstanceStatus, Role
+from heatherpier.positions import LogPosition
 from heatherpier.upstreams import Column, Result, StatementError
 
 CALL = re.compile(r"CALL\s+group_(\w+)\s*\((.*)\)\s*;?$", re.IGNORECASE | re.DOTALL)
--- a/src/heatherpier/bench/_load_run.py
+++ b/src/heatherpier/bench/_load_run.py
@@ -15,7 +15,7 @@
 from heatherpier.bench._mixes import MIXES
 from heatherpier.bench._monitor import ReadMonitor
 from heatherpier.bench._processes import Processes
-from heatherpier.upstreams import MysqlConnector
+from heatherpier.upstreams.mysql import MysqlConnector
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/heatherpier/bench/_monitor.py
+++ b/src/heatherpier/bench/_monitor.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from heatherpier.bench._engine import LogEntry
-from heatherpier.groups import LogPosition
+from heatherpier.positions import LogPosition
 from heatherpier.upstreams import (
     Connection,
     Connector,
--- a/src/heatherpier/bench/_overload.py
+++ b/src/heatherpier/bench/_overload.py
@@ -6,7 +6,7 @@
 
 from heatherpier.bench._cluster import GROUP
 from heatherpier.bench._memory_proxies import MemoryFleet, MemoryProxy, memory_fleet
-from heatherpier.groups import LogPosition
+from heatherpier.positions import LogPosition
 from heatherpier.requests import FinalError, Priority, Request
 from heatherpier.timers import LoopTimers, VirtualTimeLoop
 
--- a/src/heatherpier/bench/_simulated_group.py
+++ b/src/heatherpier/bench/_simulated_group.py
@@ -9,8 +9,8 @@
 from typing import Any
 
 from heatherpier.discovery import InstanceRecord
-from heatherpier.groups import LogPosition
 from heatherpier.leases import ControlError, NotRunningError, ReplicationStatus
+from heatherpier.positions import LogPosition
 from heatherpier.timers import Timers
 from heatherpier.upstreams import Instance
 
--- a/src/heatherpier/bench/_simulated_link.py
+++ b/src/heatherpier/bench/_simulated_link.py
@@ -11,7 +11,6 @@
     SimulatedGroup,
     SimulatedInstance,
 )
-from heatherpier.groups import LogPosition
 from heatherpier.pooling import (
     ApplyValue,
     Call,
@@ -24,6 +23,7 @@
     PrepareShape,
     RollBack,
 )
+from heatherpier.positions import LogPosition
 from heatherpier.statements import (
     Access,
     Code,
--- a/src/heatherpier/bench/_writing_caller.py
+++ b/src/heatherpier/bench/_writing_caller.py
@@ -3,7 +3,8 @@
 import contextlib
 from dataclasses import dataclass
 
-from heatherpier.groups import Group, GroupError, LogPosition, fetch_last_commit
+from heatherpier.groups import Group, GroupError, fetch_last_commit
+from heatherpier.positions import LogPosition
 from heatherpier.timers import Timers
 from heatherpier.upstreams import UpstreamError
 
--- a/src/heatherpier/bench/tests/test_doubled_answer.py
+++ b/src/heatherpier/bench/tests/test_doubled_answer.py
@@ -11,7 +11,8 @@
 from heatherpier.bench import serve_instance
 from heatherpier.bench._processes import free_ports
 from heatherpier.timers import LoopTimers
-from heatherpier.upstreams import Instance, MysqlConnector
+from heatherpier.upstreams import Instance
+from heatherpier.upstreams.mysql import MysqlConnector
 
 
 @pytest.fixture(scope="module")
--- a/src/heatherpier/bench/tests/test_instance_server.py
+++ b/src/heatherpier/bench/tests/test_instance_server.py
@@ -9,7 +9,8 @@
 from heatherpier.bench._processes import free_ports
 from heatherpier.timers import LoopTimers
 from heatherpier.upstreams import Instance as Address
-from heatherpier.upstreams import MysqlConnector, TooManyConnectionsError
+from heatherpier.upstreams import TooManyConnectionsError
+from heatherpier.upstreams.mysql import MysqlConnector
 
 REMOTE_DELAY_S = 0.1
 
--- a/src/heatherpier/callers/tests/test_tls.py
+++ b/src/heatherpier/callers/tests/test_tls.py
@@ -11,7 +11,8 @@
 
 from heatherpier.callers import ssl_context_of
 from heatherpier.settings import CallersModel
-from heatherpier.upstreams import ConnectError, Instance, MysqlConnector
+from heatherpier.upstreams import ConnectError, Instance
+from heatherpier.upstreams.mysql import MysqlConnector
 
 DATA = Path(__file__).parent / "data"
 CERTIFICATE = str(DATA / "certificate.pem")
--- a/src/heatherpier/fleet/_zmq.py
+++ b/src/heatherpier/fleet/_zmq.py
@@ -8,7 +8,6 @@
 
 import zmq
 import zmq.asyncio
-from zmq.auth.asyncio import AsyncioAuthenticator
 
 from heatherpier.fleet._errors import MalformedMessageError, PeerUnreachableError
 from heatherpier.fleet._interface import Handler, MessageT, Peer
@@ -113,6 +112,9 @@
         return self
 
     def _enable_curve(self, keys: CurveKeys) -> None:
+        # Imported here, since networks without keys start sooner without it.
+        from zmq.auth.asyncio import AsyncioAuthenticator
+
         self._auth = AsyncioAuthenticator(self._context)
         self._auth.start()
         self._auth.configure_curve_callback(domain="*", credentials_provider=self)
--- a/src/heatherpier/groups/__init__.py
+++ b/src/heatherpier/groups/__init__.py
@@ -25,7 +25,6 @@
 from heatherpier.groups._types import (
     Adoption,
     InstanceStatus,
-    LogPosition,
     Role,
 )
 from heatherpier.groups._watcher import Watcher, start_watcher
@@ -39,7 +38,6 @@
     "GroupError",
     "GroupSpec",
     "InstanceStatus",
-    "LogPosition",
     "NoPrimaryError",
     "NotAcknowledgedError",
     "NotFencedError",
--- a/src/heatherpier/groups/_acknowledgement.py
+++ b/src/heatherpier/groups/_acknowledgement.py
@@ -15,7 +15,8 @@
 
 from heatherpier.groups._control import wait_for_position
 from heatherpier.groups._errors import GroupError, NotAcknowledgedError
-from heatherpier.groups._types import ORIGIN, InstanceStatus, LogPosition
+from heatherpier.groups._types import InstanceStatus
+from heatherpier.positions import ORIGIN, LogPosition
 from heatherpier.timers import Timers
 from heatherpier.upstreams import Pool, UpstreamError
 
--- a/src/heatherpier/groups/_control.py
+++ b/src/heatherpier/groups/_control.py
@@ -13,7 +13,8 @@
 """
 
 from heatherpier.groups._errors import UnexpectedAnswerError
-from heatherpier.groups._types import Adoption, InstanceStatus, LogPosition, Role
+from heatherpier.groups._types import Adoption, InstanceStatus, Role
+from heatherpier.positions import LogPosition
 from heatherpier.upstreams import PooledConnection, Result
 
 MS_PER_S = 1000
--- a/src/heatherpier/groups/_evidence.py
+++ b/src/heatherpier/groups/_evidence.py
@@ -10,7 +10,7 @@
 from heatherpier.groups._condition import expected_primary
 from heatherpier.groups._errors import NoPrimaryError
 from heatherpier.groups._group import Group
-from heatherpier.groups._types import ORIGIN
+from heatherpier.positions import ORIGIN
 
 # A primary counts as alive for this long after a replica heard from it.
 ALIVE_CONTACT_S = 0.5
--- a/src/heatherpier/groups/_group.py
+++ b/src/heatherpier/groups/_group.py
@@ -10,7 +10,8 @@
 from heatherpier.groups._control import fetch_status
 from heatherpier.groups._errors import GroupError, NoPrimaryError
 from heatherpier.groups._spec import GroupSpec
-from heatherpier.groups._types import ORIGIN, InstanceStatus, LogPosition
+from heatherpier.groups._types import InstanceStatus
+from heatherpier.positions import ORIGIN, LogPosition
 from heatherpier.timers import Timers
 from heatherpier.upstreams import (
     ConnectError,
--- a/src/heatherpier/groups/_promoter.py
+++ b/src/heatherpier/groups/_promoter.py
@@ -38,7 +38,8 @@
 from heatherpier.groups._errors import GroupError, NotFencedError, PromotionError
 from heatherpier.groups._group import NEW_CONNECTION_TIMEOUT_S, Group
 from heatherpier.groups._random import RandomSource
-from heatherpier.groups._types import InstanceStatus, LogPosition
+from heatherpier.groups._types import InstanceStatus
+from heatherpier.positions import LogPosition
 from heatherpier.telemetry import get_logger
 from heatherpier.timers import Timers
 from heatherpier.upstreams import UpstreamError
--- a/src/heatherpier/groups/_types.py
+++ b/src/heatherpier/groups/_types.py
@@ -1,8 +1,10 @@
-"""Roles, log positions and statuses of instances."""
+"""Roles and statuses of instances."""
 
 from dataclasses import dataclass
 from enum import Enum
 
+from heatherpier.positions import LogPosition
+
 
 class Role(Enum):
     """Role of an instance in its group."""
@@ -11,24 +13,6 @@
     REPLICA = "replica"
 
 
-@dataclass(frozen=True, slots=True, order=True)
-class LogPosition:
-    """Position of an entry in a group's log.
-
-    Positions compare by term first, then by index.
-
-    Attributes:
-        term: Term of the primary that wrote the entry.
-        index: Number of entries up to and including this one.
-    """
-
-    term: int
-    index: int
-
-
-ORIGIN = LogPosition(0, 0)
-
-
 @dataclass(frozen=True, slots=True, kw_only=True)
 class InstanceStatus:
     """Status that an instance reports in one answer.
--- a/src/heatherpier/groups/tests/promotion_model.py
+++ b/src/heatherpier/groups/tests/promotion_model.py
@@ -12,8 +12,9 @@
 from functools import cache
 from typing import NamedTuple
 
-from heatherpier.groups import InstanceStatus, LogPosition, Role
+from heatherpier.groups import InstanceStatus, Role
 from heatherpier.groups._promoter import choose_furthest
+from heatherpier.positions import LogPosition
 
 INSTANCES = range(3)
 MAJORITY = 2
--- a/src/heatherpier/groups/tests/test_acknowledgement.py
+++ b/src/heatherpier/groups/tests/test_acknowledgement.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from heatherpier.groups import LogPosition, NotAcknowledgedError
+from heatherpier.groups import NotAcknowledgedError
+from heatherpier.positions import LogPosition
 
 TIMEOUT_S = 2.0
 IMMEDIATE_S = 0.25
--- a/src/heatherpier/leases/_interface.py
+++ b/src/heatherpier/leases/_interface.py
@@ -4,7 +4,7 @@
 from typing import Protocol
 
 from heatherpier.discovery import InstanceRecord
-from heatherpier.groups import LogPosition
+from heatherpier.positions import LogPosition
 
 
 class ControlError(Exception):
--- a/src/heatherpier/leases/_sample_exchange.py
+++ b/src/heatherpier/leases/_sample_exchange.py
@@ -13,8 +13,8 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from heatherpier.groups import LogPosition
 from heatherpier.leases._messages import SampleAnswer, SampleReport, SharedSample
+from heatherpier.positions import LogPosition
 from heatherpier.timers import Timers
 
 # Maximum relative drift between the clocks of two VMs.
--- a/src/heatherpier/leases/tests/test_sample_exchange.py
+++ b/src/heatherpier/leases/tests/test_sample_exchange.py
@@ -9,9 +9,9 @@
 import pytest
 
 from heatherpier.bench import SimulatedDeployment, ask
-from heatherpier.groups import LogPosition
 from heatherpier.leases import SampleExchange
 from heatherpier.leases._messages import SampleReport, SharedSample
+from heatherpier.positions import LogPosition
 from heatherpier.statements import Done
 
 PROXIES = 12
--- a/src/heatherpier/leases/tests/test_synchronous_replicas.py
+++ b/src/heatherpier/leases/tests/test_synchronous_replicas.py
@@ -5,7 +5,7 @@
 import pytest
 
 from heatherpier.bench import SimulatedDeployment, ask
-from heatherpier.groups import LogPosition
+from heatherpier.positions import LogPosition
 from heatherpier.statements import Done
 
 
--- a/src/heatherpier/platform/_clients.py
+++ b/src/heatherpier/platform/_clients.py
@@ -37,7 +37,7 @@
 ACCEPT_BACKLOG = 1024
 
 OpenSession = Callable[[str], CallerSession | Failed]
-WaitUntilConfigured = Callable[[], Awaitable[None]]
+WaitUntilKnown = Callable[[], Awaitable[None]]
 
 
 class LineListener:
@@ -47,7 +47,8 @@
         open_session: Opens a session for a database, or returns the failure that the
             caller is answered with.
         limits: Returns the active limits.
-        wait_until_configured: Returns once databases are known, or will not be soon.
+        wait_until_known: Returns once databases and instances are known, or
+            will not be soon.
     """
 
     def __init__(
@@ -55,11 +56,11 @@
         *,
         open_session: OpenSession,
         limits: Callable[[], CallerLimits],
-        wait_until_configured: WaitUntilConfigured,
+        wait_until_known: WaitUntilKnown,
     ) -> None:
         self._open_session = open_session
         self._limits = limits
-        self._wait_until_configured = wait_until_configured
+        self._wait_until_known = wait_until_known
         self._server: asyncio.Server | None = None
         self._sessions: set[LineSession] = set()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -84,7 +85,7 @@
             channel,
             open_session=self._open_session,
             limits=self._limits,
-            wait_until_configured=self._wait_until_configured,
+            wait_until_known=self._wait_until_known,
         )
         if self._closes_when_idle:
             session.close_when_idle()
@@ -152,7 +153,8 @@
         open_session: Opens a session for a database, or returns the failure that the
             caller is answered with.
         limits: Returns the active limits.
-        wait_until_configured: Returns once databases are known, or will not be soon.
+        wait_until_known: Returns once databases and instances are known, or
+            will not be soon.
     """
 
     def __init__(
@@ -161,12 +163,12 @@
         *,
         open_session: OpenSession,
         limits: Callable[[], CallerLimits],
-        wait_until_configured: WaitUntilConfigured,
+        wait_until_known: WaitUntilKnown,
     ) -> None:
         self._channel = channel
         self._open_session = open_session
         self._limits = limits
-        self._wait_until_configured = wait_until_configured
+        self._wait_until_known = wait_until_known
         self._session: CallerSession | None = None
         self._awaits_message = False
         self._closes_when_idle = False
@@ -206,7 +208,7 @@
                 )
             )
             return
-        await self._wait_until_configured()
+        await self._wait_until_known()
         session = (
             STOPPING_FAILURE if self._rejects_new else self._open_session(database)
         )
--- a/src/heatherpier/platform/_line.py
+++ b/src/heatherpier/platform/_line.py
@@ -5,8 +5,8 @@
 
 from dataclasses import dataclass
 
-from heatherpier.groups import LogPosition
 from heatherpier.platform._errors import MalformedLineError
+from heatherpier.positions import LogPosition
 from heatherpier.statements import (
     Access,
     Begin,
--- a/src/heatherpier/platform/tests/test_clients.py
+++ b/src/heatherpier/platform/tests/test_clients.py
@@ -5,8 +5,8 @@
 
 import pytest
 
-from heatherpier.groups import LogPosition
 from heatherpier.platform import LineListener
+from heatherpier.positions import LogPosition
 from heatherpier.routing import CallerLimits
 from heatherpier.statements import (
     Begin,
@@ -77,13 +77,13 @@
         sessions.append(FakeSession(database))
         return sessions[-1]
 
-    async def wait_until_configured():
+    async def wait_until_known():
         await configured.wait()
 
     running = LineListener(
         open_session=open_session,
         limits=lambda: LIMITS,
-        wait_until_configured=wait_until_configured,
+        wait_until_known=wait_until_known,
     )
     await running.start(host="127.0.0.1", port=0)
     yield running
--- a/src/heatherpier/platform/tests/test_line.py
+++ b/src/heatherpier/platform/tests/test_line.py
@@ -1,6 +1,5 @@
 import pytest
 
-from heatherpier.groups import LogPosition
 from heatherpier.platform._errors import MalformedLineError
 from heatherpier.platform._line import (
     CODES,
@@ -13,6 +12,7 @@
     parse_ready,
     parse_statement,
 )
+from heatherpier.positions import LogPosition
 from heatherpier.statements import (
     Access,
     Begin,
--- a/src/heatherpier/pooling/_calls.py
+++ b/src/heatherpier/pooling/_calls.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from heatherpier.groups import LogPosition
+from heatherpier.positions import LogPosition
 from heatherpier.statements import Access
 
 
--- a/src/heatherpier/reads/_freshness.py
+++ b/src/heatherpier/reads/_freshness.py
@@ -2,7 +2,8 @@
 
 from dataclasses import dataclass
 
-from heatherpier.groups import InstanceStatus, LogPosition
+from heatherpier.groups import InstanceStatus
+from heatherpier.positions import LogPosition
 from heatherpier.requests import Request
 
 
--- a/src/heatherpier/reads/_knowledge.py
+++ b/src/heatherpier/reads/_knowledge.py
@@ -2,7 +2,8 @@
 
 from dataclasses import dataclass
 
-from heatherpier.groups import Group, InstanceStatus, LogPosition, Role
+from heatherpier.groups import Group, InstanceStatus, Role
+from heatherpier.positions import LogPosition
 from heatherpier.reads._freshness import AtLeast, Freshness, Latest, NotOlder, is_fresh
 
 MS_PER_S = 1000
--- a/src/heatherpier/reads/tests/conftest.py
+++ b/src/heatherpier/reads/tests/conftest.py
@@ -7,8 +7,9 @@
 
 from heatherpier._session import Session
 from heatherpier.bench._cluster import DATA_CENTRES, GROUP, MemoryGroup
-from heatherpier.groups import Group, LogPosition
+from heatherpier.groups import Group
 from heatherpier.limits import Admission
+from heatherpier.positions import LogPosition
 from heatherpier.reads import Reader
 from heatherpier.requests import Request
 from heatherpier.sessions import TokenSigner
--- a/src/heatherpier/reads/tests/test_consistency.py
+++ b/src/heatherpier/reads/tests/test_consistency.py
@@ -9,7 +9,8 @@
 import pytest
 
 from heatherpier.bench import _instance as bench_instance
-from heatherpier.groups import Group, LogPosition
+from heatherpier.groups import Group
+from heatherpier.positions import LogPosition
 from heatherpier.reads import _attempt, _knowledge
 from heatherpier.reads._attempt import Attempt
 from heatherpier.reads._knowledge import GroupKnowledge
--- a/src/heatherpier/reads/tests/test_five_instances.py
+++ b/src/heatherpier/reads/tests/test_five_instances.py
@@ -7,7 +7,7 @@
 import pytest
 
 from heatherpier.bench import _cluster, start_memory_group
-from heatherpier.groups import LogPosition
+from heatherpier.positions import LogPosition
 from heatherpier.reads import _attempt, _knowledge
 from heatherpier.requests import FinalError
 
--- a/src/heatherpier/reads/tests/test_reader.py
+++ b/src/heatherpier/reads/tests/test_reader.py
@@ -5,8 +5,8 @@
 
 import pytest
 
-from heatherpier.groups import LogPosition
 from heatherpier.limits import StatementKind
+from heatherpier.positions import LogPosition
 from heatherpier.requests import (
     NotRunError,
     OverloadedError,
--- a/src/heatherpier/requests/_types.py
+++ b/src/heatherpier/requests/_types.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from enum import IntEnum
 
-from heatherpier.groups import LogPosition
+from heatherpier.positions import LogPosition
 from heatherpier.upstreams import Result
 
 
--- a/src/heatherpier/serving/_attempts.py
+++ b/src/heatherpier/serving/_attempts.py
@@ -6,7 +6,6 @@
 from dataclasses import dataclass
 
 from heatherpier.discovery import InstanceRecord
-from heatherpier.groups import LogPosition
 from heatherpier.leases import Lease
 from heatherpier.pooling import (
     Call,
@@ -14,6 +13,7 @@
     InstanceConnection,
     OpenTransaction,
 )
+from heatherpier.positions import LogPosition
 from heatherpier.requests import OverloadedError
 from heatherpier.serving._context import ServingContext
 from heatherpier.serving._pending_statement import PendingStatement
--- a/src/heatherpier/serving/_context.py
+++ b/src/heatherpier/serving/_context.py
@@ -4,9 +4,9 @@
 from dataclasses import dataclass
 
 from heatherpier.discovery import InstanceRegistry
-from heatherpier.groups import LogPosition
 from heatherpier.leases import InFlightWork, Lease, NoLease, PrimaryLeases
 from heatherpier.pooling import InstancePools
+from heatherpier.positions import LogPosition
 from heatherpier.routing import (
     ActiveRoutes,
     AnyCommit,
--- a/src/heatherpier/serving/_pending_statement.py
+++ b/src/heatherpier/serving/_pending_statement.py
@@ -2,8 +2,8 @@
 
 from dataclasses import dataclass, replace
 
-from heatherpier.groups import LogPosition
 from heatherpier.pooling import Forward, ForwardExecute, SessionNeeds
+from heatherpier.positions import LogPosition
 from heatherpier.routing import Route
 
 # Fraction of the latency objective for which a statement queues for a connection.
--- a/src/heatherpier/serving/_positions.py
+++ b/src/heatherpier/serving/_positions.py
@@ -6,7 +6,7 @@
 from contextlib import contextmanager
 from dataclasses import dataclass
 
-from heatherpier.groups import LogPosition
+from heatherpier.positions import LogPosition
 from heatherpier.timers import Timers
 
 # Samples closer together than this do not improve the choice of a minimum position.
--- a/src/heatherpier/serving/_replica_selector.py
+++ b/src/heatherpier/serving/_replica_selector.py
@@ -4,8 +4,8 @@
 from dataclasses import dataclass
 
 from heatherpier.discovery import InstanceRecord, InstanceRegistry
-from heatherpier.groups import LogPosition
 from heatherpier.pooling import InstancePools
+from heatherpier.positions import LogPosition
 from heatherpier.serving._health import InstanceHealth
 from heatherpier.serving._positions import PositionSample
 from heatherpier.timers import Timers
--- a/src/heatherpier/serving/_session.py
+++ b/src/heatherpier/serving/_session.py
@@ -2,7 +2,6 @@
 
 from dataclasses import replace
 
-from heatherpier.groups import LogPosition
 from heatherpier.pooling import (
     Forward,
     ForwardExecute,
@@ -10,6 +9,7 @@
     SessionNeeds,
     shape_name,
 )
+from heatherpier.positions import LogPosition
 from heatherpier.routing import Route
 from heatherpier.serving._context import ServingContext
 from heatherpier.serving._pending_statement import PendingStatement
--- a/src/heatherpier/serving/_shared_positions.py
+++ b/src/heatherpier/serving/_shared_positions.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from heatherpier.groups import LogPosition
+from heatherpier.positions import LogPosition
 from heatherpier.serving._positions import PositionHistory
 from heatherpier.timers import Timers
 
--- a/src/heatherpier/sessions/_positions.py
+++ b/src/heatherpier/sessions/_positions.py
@@ -1,6 +1,7 @@
 """Minimum positions that the reads of a connection's current session must reach."""
 
-from heatherpier.groups import Group, LogPosition
+from heatherpier.groups import Group
+from heatherpier.positions import LogPosition
 from heatherpier.sessions._hints import SessionHints
 from heatherpier.sessions._token import SessionToken, TokenSigner
 
--- a/src/heatherpier/sessions/_token.py
+++ b/src/heatherpier/sessions/_token.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from heatherpier.groups import LogPosition
+from heatherpier.positions import LogPosition
 from heatherpier.sessions._errors import InvalidTokenError, TokenTooLargeError
 
 # Length to which the HMAC-SHA256 signature is truncated.
--- a/src/heatherpier/sessions/tests/test_token.py
+++ b/src/heatherpier/sessions/tests/test_token.py
@@ -7,7 +7,7 @@
 import msgspec
 import pytest
 
-from heatherpier.groups import LogPosition
+from heatherpier.positions import LogPosition
 from heatherpier.sessions import (
     InvalidTokenError,
     SessionToken,
--- a/src/heatherpier/statements/_answers.py
+++ b/src/heatherpier/statements/_answers.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from heatherpier.groups import LogPosition
+from heatherpier.positions import LogPosition
 
 
 class SessionState(Enum):
--- a/src/heatherpier/upstreams/__init__.py
+++ b/src/heatherpier/upstreams/__init__.py
@@ -16,7 +16,6 @@
     Instance,
     Result,
 )
-from heatherpier.upstreams._mysql import MysqlConnector
 from heatherpier.upstreams._pool import Pool, PooledConnection
 
 __all__ = [
@@ -27,7 +26,6 @@
     "ConnectionLostError",
     "Connector",
     "Instance",
-    "MysqlConnector",
     "Pool",
     "PoolBusyError",
     "PooledConnection",
--- a/src/heatherpier/upstreams/_mysql.py
+++ b/src/heatherpier/upstreams/mysql.py
@@ -1,4 +1,8 @@
-"""MySQL connections to instances through the ``asyncmy`` driver."""
+"""MySQL connections to instances through the ``asyncmy`` driver.
+
+The package does not import this module, so that processes on the users' platform, which
+speak another protocol, start without the driver.
+"""
 
 import asyncio
 import socket
--- a/src/heatherpier/writes/_attempt.py
+++ b/src/heatherpier/writes/_attempt.py
@@ -3,7 +3,8 @@
 from dataclasses import dataclass
 from enum import IntEnum
 
-from heatherpier.groups import GroupError, LogPosition, fetch_last_commit
+from heatherpier.groups import GroupError, fetch_last_commit
+from heatherpier.positions import LogPosition
 from heatherpier.timers import Timers
 from heatherpier.upstreams import (
     PooledConnection,
--- a/src/heatherpier/writes/_errors.py
+++ b/src/heatherpier/writes/_errors.py
@@ -1,6 +1,6 @@
 """Errors of write attempts, which the writer converts to final answers."""
 
-from heatherpier.groups import LogPosition
+from heatherpier.positions import LogPosition
 from heatherpier.upstreams import StatementError
 
 
--- a/src/heatherpier/writes/_resolver.py
+++ b/src/heatherpier/writes/_resolver.py
@@ -11,12 +11,12 @@
     Group,
     GroupError,
     InstanceStatus,
-    LogPosition,
     NoPrimaryError,
     fetch_last_commit,
     fetch_status,
 )
 from heatherpier.limits import Backoff
+from heatherpier.positions import LogPosition
 from heatherpier.requests import ReadOnlyError, RefusedError
 from heatherpier.telemetry import get_logger
 from heatherpier.timers import Timers
--- a/src/heatherpier/writes/_transaction.py
+++ b/src/heatherpier/writes/_transaction.py
@@ -6,10 +6,10 @@
 from heatherpier.groups import (
     Group,
     GroupError,
-    LogPosition,
     NoPrimaryError,
     fetch_status,
 )
+from heatherpier.positions import LogPosition
 from heatherpier.requests import (
     Answer,
     FinalError,
--- a/src/heatherpier/writes/tests/test_faults.py
+++ b/src/heatherpier/writes/tests/test_faults.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from heatherpier.groups import LogPosition
+from heatherpier.positions import LogPosition
 from heatherpier.requests import (
     FinalError,
     NotRunError,
--- a/src/heatherpier/writes/tests/test_pruner.py
+++ b/src/heatherpier/writes/tests/test_pruner.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from heatherpier.groups import LogPosition
+from heatherpier.positions import LogPosition
 from heatherpier.writes import _attempt, _pruner
 from heatherpier.writes._pruner import Pruner
 from heatherpier.writes._records import RecordState, RequestRecord, fingerprint_of
