Pools: grow by what waiters have waited, not only by the estimate

Transactions that pause hold connections for long, but the mean time in use counts only what is released, so the estimate promised a connection soon and the pool did not grow.

Ruled out: higher limits (the instances accept no more for 24 proxies), an estimate that also refuses or routes (it would refuse what has a higher priority than the one that waits).

Change: a waiter that has waited for 0.1 s may open a connection up to the hard limit, and one that was told so opens it without asking the estimate again.

--- a/src/heatherpier/pooling/_pool.py
+++ b/src/heatherpier/pooling/_pool.py
@@ -37,9 +37,11 @@
 # other proxies can open one instead.
 EXCESS_IDLE_S = 2.0
 # A connection beyond the soft limit is opened only for a waiter that would wait at
-# least this long: opening takes a slot of the instance for 12 ms, as long as most
-# statements.
+# least this long, or has: opening takes a slot of the instance for 12 ms, as long as
+# most statements.
 EXCESS_WAIT_S = 0.1
+# Period of the check whether a waiter has waited that long.
+GROWTH_PERIOD_S = 0.02
 # Weight of the latest use in the moving average of the time in use.
 USE_TIME_SMOOTHING = 0.1
 # Mean time in use that is assumed before connections have been released.
@@ -106,11 +108,14 @@
         self._waiters: list[
             tuple[int, int, asyncio.Future[InstanceConnection | None]]
         ] = []
+        # Monotonic times in seconds at which the waiters began to wait, by sequence.
+        self._waiting_since: dict[int, float] = {}
         self._sequence = itertools.count()
         self._mean_use_s = INITIAL_USE_S
         self._backoff_until = 0.0
         self._closed = False
         self._trimming = False
+        self._growing = False
         self._tasks: set[asyncio.Task[None]] = set()
 
     @property
@@ -149,6 +154,7 @@
             conn = self._take_idle(values) or await self._try_open()
             if conn is None:
                 conn = await self._wait(priority, deadline)
+                conn = conn or await self._try_open(offered=True)
             if conn is not None and await self._is_alive(conn):
                 return conn
 
@@ -160,9 +166,13 @@
                 return self._idle.pop(index)
         return self._idle.pop()
 
-    async def _try_open(self) -> InstanceConnection | None:
-        """Opens a connection; returns None if the pool or the instance is full."""
-        if not self._may_open():
+    async def _try_open(self, *, offered: bool = False) -> InstanceConnection | None:
+        """Opens a connection; returns None if the pool or the instance is full.
+
+        Args:
+            offered: Whether a waiter was told that it may open one.
+        """
+        if not (self._has_room() if offered else self._may_open()):
             return None
         try:
             return await self._open_one()
@@ -177,7 +187,12 @@
             raise self._overloaded(wait_s)
         fut: asyncio.Future[InstanceConnection | None]
         fut = asyncio.get_running_loop().create_future()
-        heapq.heappush(self._waiters, (priority, next(self._sequence), fut))
+        sequence = next(self._sequence)
+        heapq.heappush(self._waiters, (priority, sequence, fut))
+        self._waiting_since[sequence] = self._timers.now()
+        if not self._growing and self._open < self.limits.hard_limit:
+            self._growing = True
+            self._start(self._grow())
         try:
             async with self._timers.timeout_at(deadline):
                 return await fut
@@ -187,6 +202,8 @@
         except asyncio.CancelledError:
             self._pass_on(fut)
             raise
+        finally:
+            del self._waiting_since[sequence]
 
     def _pass_on(self, fut: asyncio.Future[InstanceConnection | None]) -> None:
         """Hands on what a waiter was given in the turn in which its wait ended."""
@@ -222,25 +239,45 @@
         if self._waiters and self._may_open():
             self._hand_over(None)
 
+    async def _grow(self) -> None:
+        """Opens connections for those that have waited long, while there are any.
+
+        The estimate of the wait does not show that all connections are held for long,
+        as by transactions with pauses: only what is released counts in it.
+        """
+        while self._waiting_since and not self._closed:
+            left_s = EXCESS_WAIT_S - self._longest_wait_s()
+            await self._timers.sleep(max(left_s, GROWTH_PERIOD_S))
+            self._offer_capacity()
+        self._growing = False
+
     def _overloaded(self, wait_s: float) -> OverloadedError:
         return OverloadedError(
             f"{self.instance.name}: {self.waiting} waiters, {self._open} connections",
             retry_after_ms=max(int(wait_s * MS_PER_S), MIN_RETRY_MS),
         )
 
+    def _has_room(self) -> bool:
+        full = self._closed or self._open >= self.limits.hard_limit
+        return not full and self._timers.now() >= self._backoff_until
+
     def _may_open(self) -> bool:
-        if self._closed or self._open >= self.limits.hard_limit:
-            return False
-        if self._timers.now() < self._backoff_until:
+        if not self._has_room():
             return False
         if self._open < self.limits.soft_limit:
             return True
-        return not self._opening and self._queue_wait_s() >= EXCESS_WAIT_S
+        wait_s = max(self._queue_wait_s(), self._longest_wait_s())
+        return not self._opening and wait_s >= EXCESS_WAIT_S
 
     def _queue_wait_s(self) -> float:
         """Estimates the wait of a new waiter for an open connection, in seconds."""
         return (self.waiting + 1) * self._mean_use_s / max(self._open, 1)
 
+    def _longest_wait_s(self) -> float:
+        """Returns for how long the first of the present waiters has waited."""
+        now = self._timers.now()
+        return now - next(iter(self._waiting_since.values()), now)
+
     async def _open_one(self) -> InstanceConnection:
         if self._closed:
             raise ConnectError(f"{self.instance.name}: the pool is closed")
