Leases: a change waits for no removed member that is back and has released

A change waited 3.06 s from any removal, whoever was removed.

Why it is safe: the wait is for a process that uses the old primary on a view from before its removal and can't be asked. One that has answered the request to release uses it no more; if the answer comes from a later incarnation at the same address, the earlier one has ended. A removed member of another address, or that does not answer, still delays the change.

Change: the history of the fleet keeps the last removal of each member; the fence ignores those of members (name and address) that have released, and of this proxy.

--- a/src/heatherpier/leases/_fence.py
+++ b/src/heatherpier/leases/_fence.py
@@ -98,6 +98,8 @@
         self._control = control
         self._timers = timers
         self._released: set[str] = set()
+        # The same as peers, whose address tells a member from a later one of its name.
+        self._released_peers: set[Peer] = set()
 
     async def complete(self, *, term: int, began: float) -> None:
         """Returns once the old primary can no longer be used.
@@ -161,11 +163,17 @@
         # A member that was removed recently is not among the peers asked above. The
         # view on which its lease rests is older than its removal, so the lease expires
         # within `LEASE_S` of the removal. Grants to it by the peers that released had
-        # expired before; for ended peers, `_release_at` demands a release quorum.
-        removed_at = self._view.history.last_removal()
+        # expired before; for ended peers, `_release_at` demands a release quorum. A
+        # member that was removed by mistake and has registered again was asked.
+        removed_at = self._view.history.last_removal(ignored=self._released_members())
         await self._sleep_until(removed_at + LEASE_S * (1 + MAX_CLOCK_DRIFT))
         await self._sleep_until(self._lost_members_end())
 
+    def _released_members(self) -> set[Peer]:
+        """Returns the members that use the old primary no more, with this proxy."""
+        here = self._view.members.get(self._links.me)
+        return self._released_peers | (set() if here is None else {here.peer})
+
     def _lost_members_end(self) -> float:
         """Returns when leases of members whose rows a restore discarded have expired.
 
@@ -193,6 +201,7 @@
             )
             if result is ReleaseResult.RELEASED:
                 self._released.add(peer.name)
+                self._released_peers.add(peer)
                 return
             if result is ReleaseResult.ENDED and self._has_release_quorum():
                 return
--- a/src/heatherpier/leases/_history.py
+++ b/src/heatherpier/leases/_history.py
@@ -1,8 +1,10 @@
 """Voter sets that were current recently, and the time of the last removal."""
 
 from collections import deque
+from collections.abc import Collection
 from dataclasses import dataclass
 
+from heatherpier.fleet import Peer
 from heatherpier.leases._messages import PastVoters
 from heatherpier.tables import TableCopy
 from heatherpier.timers import Timers
@@ -55,7 +57,8 @@
         self._current: frozenset[str] = frozenset()
         # Past voter sets in the order in which they ended.
         self._past: deque[PastVoterSet] = deque()
-        self._removed_at = float("-inf")
+        # Time of the last removal of each member that was removed recently.
+        self._removed_at: dict[Peer, float] = {}
         self._gap_at = float("-inf")
         self._gap_version = 0
         self._peer_history: _PeerHistory | None = None
@@ -70,9 +73,13 @@
         while self._past[0][0] < now - RETENTION_S:
             self._past.popleft()
 
-    def note_removal(self) -> None:
+    def note_removal(self, peer: Peer) -> None:
         """Records that a member is removed now."""
-        self._removed_at = self._timers.elapsed()
+        now = self._timers.elapsed()
+        self._removed_at[peer] = now
+        for name, at in list(self._removed_at.items()):
+            if at < now - RETENTION_S:
+                del self._removed_at[name]
 
     def note_gap(self, version: int) -> None:
         """Records that a voter set may have been current without being seen here.
@@ -90,15 +97,19 @@
         earlier = self._valid_peer_history()
         return self._local_start()[0] if earlier is None else earlier.known_since
 
-    def last_removal(self) -> float:
+    def last_removal(self, *, ignored: Collection[Peer] = ()) -> float:
         """Returns the latest time at which a member may have been removed.
 
         A removal before the known history can't be excluded, so the result is never
         earlier than the start of that history.
+
+        Args:
+            ignored: Members whose removal does not count.
         """
         earlier = self._valid_peer_history()
         earlier_removal = float("-inf") if earlier is None else earlier.removed_at
-        return max(self._removed_at, earlier_removal, self.known_since())
+        removals = (at for peer, at in self._removed_at.items() if peer not in ignored)
+        return max(*removals, earlier_removal, self.known_since())
 
     def voter_sets_since(self, since: float) -> list[frozenset[str]] | None:
         """Returns each voter set that was current at some time since ``since``.
--- a/src/heatherpier/leases/_view.py
+++ b/src/heatherpier/leases/_view.py
@@ -172,10 +172,12 @@
         log.info("member row received", member=name, version=row.version)
 
     def _remove_member(self, name: str, row: Row) -> None:
-        if self.members.pop(name, None) is None:
+        removed = self.members.pop(name, None)
+        if removed is None:
             # The member joined and was removed unseen. It may have been a voter.
             self.history.note_gap(row.version)
-        self.history.note_removal()
+        else:
+            self.history.note_removal(removed.peer)
         self.history.note_voters(self.voters())
         log.info("member removed", member=name, version=row.version)
 
