Leases: a lost primary that serves again before a promotion is kept

Ruled out: a longer wait of a minority (it delays the changes that only it can make), and another check before the leadership row is written (the partition healed after it).

Change: while it fences, the coordinator asks the old primary before it demotes it. If the primary leads in a term that no instance surpasses, and answers the coordinator and half of the voters, the row that ends the change names it again, and no promotion is requested. Not in takeovers, where an earlier coordinator may have requested one, nor in planned changes.

--- a/src/heatherpier/leases/_changer.py
+++ b/src/heatherpier/leases/_changer.py
@@ -4,9 +4,9 @@
 from collections.abc import Callable
 
 from heatherpier.discovery import InstanceRecord, InstanceRegistry
-from heatherpier.groups import LogPosition
 from heatherpier.leases._coordinators import ChangeCoordinators, CoordinatorState
 from heatherpier.leases._fence import CONTROL_TIMEOUT_S, Fence, PrimaryChange
+from heatherpier.leases._indirect_probes import IndirectProber
 from heatherpier.leases._interface import (
     ControlError,
     InstanceControl,
@@ -24,6 +24,7 @@
 )
 from heatherpier.leases._releases import LeaseReleases
 from heatherpier.leases._view import FleetView
+from heatherpier.positions import LogPosition
 from heatherpier.tables import ChangeConflictError
 from heatherpier.telemetry import get_logger
 from heatherpier.timers import Timers
@@ -63,6 +64,7 @@
         registry: The registered instances.
         control: Control statements to instances.
         promotions: Has the platform promote instances.
+        prober: Probes instances by way of the voters.
         synchronous: Returns how many replicas of a service hold a commit when it is
             acknowledged.
         timers: Timer service.
@@ -80,6 +82,7 @@
         registry: InstanceRegistry,
         control: InstanceControl,
         promotions: Promotions,
+        prober: IndirectProber,
         synchronous: Callable[[str], int],
         timers: Timers,
     ) -> None:
@@ -92,6 +95,7 @@
         self._registry = registry
         self._control = control
         self._promotions = promotions
+        self._prober = prober
         self._synchronous = synchronous
         self._timers = timers
 
@@ -136,7 +140,7 @@
                 f"change of primary not completed within {CHANGE_TIMEOUT_S:.0f} s"
             ) from exc
         log.info(
-            "primary changed",
+            "old primary kept" if target.name == change.previous else "primary changed",
             service=change.service,
             previous=change.previous,
             instance=target.name,
@@ -161,9 +165,12 @@
             links=self._links,
             releases=self._releases,
             control=self._control,
+            prober=self._prober,
             timers=self._timers,
         )
-        await fence.complete(term=term, began=began)
+        revived = await fence.complete(term=term, began=began)
+        if revived is not None and change.record is not None:
+            return change.record, revived
         min_position: LogPosition | None = None
         if change.planned:
             min_position = await self._fetch_last_position(change)
--- a/src/heatherpier/leases/_fence.py
+++ b/src/heatherpier/leases/_fence.py
@@ -8,7 +8,12 @@
 from heatherpier.fleet import Peer
 from heatherpier.leases._coordinators import CoordinatorState
 from heatherpier.leases._grants import GRANT_MAX_STALENESS_S, GRANT_S, release_quorum
-from heatherpier.leases._interface import ControlError, InstanceControl
+from heatherpier.leases._indirect_probes import REACH_TIMEOUT_S, IndirectProber
+from heatherpier.leases._interface import (
+    ControlError,
+    InstanceControl,
+    ReplicationStatus,
+)
 from heatherpier.leases._peers import PeerLinks
 from heatherpier.leases._primary_leases import LEASE_S
 from heatherpier.leases._records import UNKNOWN_TERM, LeadershipRecord
@@ -76,6 +81,7 @@
         links: The other proxies.
         releases: Releases leases here and at peers.
         control: Control statements to instances.
+        prober: Probes instances by way of the voters.
         timers: Timer service.
     """
 
@@ -88,6 +94,7 @@
         links: PeerLinks,
         releases: LeaseReleases,
         control: InstanceControl,
+        prober: IndirectProber,
         timers: Timers,
     ) -> None:
         self._change = change
@@ -96,21 +103,25 @@
         self._links = links
         self._releases = releases
         self._control = control
+        self._prober = prober
+        # Status of the old primary if it leads and has answered this proxy again.
+        self._answered: ReplicationStatus | None = None
+        self._is_kept = False
         self._timers = timers
         self._released: set[str] = set()
         # The same as peers, whose address tells a member from a later one of its name.
         self._released_peers: set[Peer] = set()
 
-    async def complete(self, *, term: int, began: float) -> None:
-        """Returns once the old primary can no longer be used.
+    async def complete(self, *, term: int, began: float) -> ReplicationStatus | None:
+        """Returns once no proxy uses the old primary any more.
 
         Each of two conditions is enough:
 
         - Every member has released the old primary, or its process has ended.
         - All leases on the old primary have expired.
 
-        Unless the change is planned, the old primary is demoted meanwhile, so that it
-        rejects writes. That does not end the wait: a proxy that is cut off still reads
+        Unless the change is planned or the old primary serves again, it is demoted
+        meanwhile, so that it rejects writes. That does not end the wait: a proxy that is cut off still reads
         from it under its lease, and a replica answers reads.
 
         Args:
@@ -118,6 +129,9 @@
             began: Time by `Timers.elapsed` at which the store is known to hold the
                 leadership row of the change.
 
+        Returns:
+            Status of the old primary if it serves again and is to be kept, or None.
+
         Raises:
             ChangeConflictError: The view shows another leadership row.
         """
@@ -136,6 +150,10 @@
             )
             for task in done:
                 task.result()
+            if self._answered is not None:
+                # Only the voters' answers are missing, which come sooner than a
+                # promotion takes effect.
+                await asyncio.wait({demotion}, timeout=REACH_TIMEOUT_S)
         finally:
             for task in (*conditions, demotion):
                 task.cancel()
@@ -145,8 +163,10 @@
             previous=self._change.previous,
             how=[conditions[task] for task in done],
             released=sorted(self._released),
+            kept=self._is_kept,
             took_s=round(self._timers.elapsed() - began, 3),
         )
+        return self._answered if self._is_kept else None
 
     async def _wait_for_releases(self) -> None:
         """Returns when all members have released the old primary or have ended.
@@ -208,10 +228,38 @@
             await self._timers.sleep(RETRY_PAUSE_S)
 
     async def _demote_unless_planned(self, term: int) -> None:
-        """Makes the old primary a replica, which rejects the writes of every proxy."""
-        while not self._change.planned and not await self._demote(term):
+        """Makes a lost primary a replica, which rejects the writes of every proxy.
+
+        One that serves again is left as it is.
+        """
+        while not self._change.planned:
+            self._is_kept = await self._serves_again(term)
+            if self._is_kept or await self._demote(term):
+                return
             await self._timers.sleep(RETRY_PAUSE_S)
 
+    async def _serves_again(self, term: int) -> bool:
+        """Returns whether the lost primary serves again, so that it can be kept.
+
+        It has to lead and to answer this proxy and half of the voters. Keeping it takes
+        less time than a promotion, and loses no commits. The coordinator of a takeover
+        does not keep it: the promotion of another instance may have been requested.
+        """
+        change = self._change
+        if change.record is None or change.takeover or not change.confirmed:
+            return False
+        try:
+            status = await self._control.replication_status(
+                change.record, timeout_s=CONTROL_TIMEOUT_S
+            )
+        except ControlError:
+            return False
+        if not status.leads or status.term < term:
+            return False
+        self._answered = status
+        result = await self._prober.probe_indirectly(change.previous)
+        return len(result.reaching) + 1 >= release_quorum(result.voters)
+
     async def _demote(self, term: int) -> bool:
         record = self._change.record
         if record is None:
--- a/src/heatherpier/leases/tests/test_change_of_primary.py
+++ b/src/heatherpier/leases/tests/test_change_of_primary.py
@@ -181,7 +181,7 @@
 ):
     # Shows that `assert_terms_never_go_back` detects a change without fencing: proxy-3,
     # which still reaches the old primary, goes on using it after the promotion.
-    async def skip_fencing(self, *, term, began):
+    async def skip_fencing(self, **arguments):
         return
 
     monkeypatch.setattr(Fence, "complete", skip_fencing)
--- a/src/heatherpier/leases/tests/test_random_faults.py
+++ b/src/heatherpier/leases/tests/test_random_faults.py
@@ -246,7 +246,7 @@
 
 
 async def test_a_change_without_fencing_is_detected(timers, monkeypatch):
-    async def return_at_once(self, *, term, began):
+    async def return_at_once(self, **arguments):
         return
 
     monkeypatch.setattr(Fence, "complete", return_at_once)
--- a/src/heatherpier/platform/tests/test_soak.py
+++ b/src/heatherpier/platform/tests/test_soak.py
@@ -69,7 +69,7 @@
     "no-fence": SeededFault(
         program=(
             "import heatherpier.leases._fence as fence\n"
-            "async def complete(self, *, term, began): pass\n"
+            "async def complete(self, **arguments): pass\n"
             "fence.Fence.complete = complete\n"
         ),
         breaks=("old commits", "stale reads"),
