Pools: close connections that were idle for 2 s, so that instances keep room

After a loss of power an instance counts these connections for 3 s more, and proxies that are back after 2 s find it full.

Ruled out: smaller shares (bursts need them), taking turns at replicas as well.

Change: a connection that was idle for 2 s is closed unless it is the pool's last. It replaces the rule that closed only those beyond the even share.

--- a/src/heatherpier/pooling/_pool.py
+++ b/src/heatherpier/pooling/_pool.py
@@ -33,9 +33,10 @@
 # Pause before the next attempt to open a connection after the instance rejected one as
 # too many. An instance keeps the connections of a proxy that lost power for 3 s.
 REJECTED_BACKOFF_S = 0.15
-# A connection beyond the soft limit is closed after it was idle for this long, so that
-# other proxies can open one instead.
-EXCESS_IDLE_S = 2.0
+# A connection is closed after it was idle for this long, unless the pool has no other.
+# If all proxies lose power at once, the instance keeps counting their connections for
+# 3 s, and what it accepts beyond these is all that the proxies have after their start.
+IDLE_LIMIT_S = 2.0
 # A connection beyond the soft limit is opened only for a waiter that would wait at
 # least this long, or has: opening takes a slot of the instance for 12 ms, as long as
 # most statements.
@@ -55,7 +56,7 @@
     """Bounds of a pool, which may change at any time.
 
     Attributes:
-        soft_limit: Number of connections that may stay open while they are idle.
+        soft_limit: Number of connections that are opened as soon as they are needed.
         hard_limit: Maximum number of connections, reached only while waiters would
             otherwise wait long.
     """
@@ -390,17 +391,17 @@
                 return
         if conn is not None:
             self._idle.append(conn)
-            if self._open > self.limits.soft_limit and not self._trimming:
+            if self._open > 1 and not self._trimming:
                 self._trimming = True
                 self._start(self._trim())
 
     async def _trim(self) -> None:
-        """Closes idle connections until the soft limit is met."""
-        while self._open > self.limits.soft_limit and not self._closed:
-            await self._timers.sleep(EXCESS_IDLE_S)
-            idle_since = self._timers.now() - EXCESS_IDLE_S
+        """Closes connections that have become needless, while there are several."""
+        while self._open > 1 and not self._closed:
+            await self._timers.sleep(IDLE_LIMIT_S)
+            idle_since = self._timers.now() - IDLE_LIMIT_S
             for conn in [idle for idle in self._idle if idle.used_at <= idle_since]:
-                if self._open <= self.limits.soft_limit:
+                if self._open <= 1:
                     break
                 self._idle.remove(conn)
                 conn.abort()
