Engine: a duty that fails unexpectedly is logged and runs again; bad ports name no instance

Cause, found on the operators' list (one malformed message or unexpected error): an entry of another writer with the port 99999, or a zero byte in its host, was accepted. Connecting to it raises OverflowError or ValueError, which nothing expects, and ended the task that keeps connections open or that watches the primary, for good and without a line, while the process looked healthy.

Ruled out: the codec of messages between proxies, which turns all malformed frames into one error that is logged and dropped.

--- a/src/heatherpier/_proxy_engine.py
+++ b/src/heatherpier/_proxy_engine.py
@@ -7,13 +7,13 @@
 
 import asyncio
 import random
-from collections.abc import Coroutine
 from contextlib import AsyncExitStack
-from typing import Any
+from functools import partial
 
 from prometheus_client import CollectorRegistry
 
 from heatherpier._engine_ports import Ports, StoreLayout, UnreadableRowError, VmLocation
+from heatherpier._supervision import Run, run_supervised
 from heatherpier.discovery import InstanceRecord, InstanceRegistry
 from heatherpier.leases import (
     FLEET_TABLE,
@@ -275,9 +275,9 @@
                 from_beginning=copy is self.view.copy,
             )
             if copy is self.view.copy:
-                self._start_task(_follow_registered(follower, registration))
+                self._start_task(partial(_follow_registered, follower, registration))
             else:
-                self._start_task(follower.run())
+                self._start_task(follower.run)
         liveness = MemberLiveness(
             self._location.me.name,
             network=ports.network,
@@ -295,15 +295,15 @@
             ranking=self._make_ranking(),
             timers=timers,
         )
-        for coroutine in (
-            table_watch.run(),
-            registration.run(),
-            liveness.run(),
-            table_fallback.run(),
-            self._expire_instances(),
-            self._warm_connections(),
+        for run in (
+            table_watch.run,
+            registration.run,
+            liveness.run,
+            table_fallback.run,
+            self._expire_instances,
+            self._warm_connections,
         ):
-            self._start_task(coroutine)
+            self._start_task(run)
         return self
 
     def _make_ranking(self) -> PeerRanking:
@@ -319,8 +319,9 @@
         await self._stack.aclose()
         self.context.pools.close()
 
-    def _start_task(self, coroutine: Coroutine[Any, Any, None]) -> None:
-        self._stack.callback(asyncio.create_task(coroutine).cancel)
+    def _start_task(self, run: Run) -> None:
+        task = asyncio.create_task(run_supervised(run, timers=self._timers))
+        self._stack.callback(task.cancel)
 
     def can_serve(self) -> bool:
         """Returns whether the configuration and at least one instance are known."""
@@ -374,8 +375,9 @@
 
     def _update_watchers(self, table: RoutingTable) -> None:
         for service in table.services.keys() - self._watchers.keys():
+            watcher = self._make_watcher(service)
             self._watchers[service] = asyncio.create_task(
-                self._make_watcher(service).run()
+                run_supervised(watcher.run, timers=self._timers)
             )
         for service in self._watchers.keys() - table.services.keys():
             self._watchers.pop(service).cancel()
--- a/src/heatherpier/platform/_instances.py
+++ b/src/heatherpier/platform/_instances.py
@@ -29,6 +29,7 @@
 
 
 _decoder = msgspec.json.Decoder(_Entry)
+MAX_PORT = 65535
 
 
 def decode_instance(name: str, body: bytes) -> InstanceRecord:
@@ -68,6 +69,7 @@
         ValueError: The address has another form.
     """
     host, colon, port = address.rpartition(":")
-    if not (host and colon and port.isdecimal()):
+    is_port = port.isdecimal() and 0 < int(port) <= MAX_PORT
+    if not (host and colon and is_port and host.isprintable()):
         raise ValueError(f"expected IP:port, got {address!r:.60}")
     return host, int(port)
