--- a/src/heatherpier/leases/_fence.py
+++ b/src/heatherpier/leases/_fence.py
@@ -121,8 +121,8 @@
         - All leases on the old primary have expired.
 
         Unless the change is planned or the old primary serves again, it is demoted
-        meanwhile, so that it rejects writes. That does not end the wait: a proxy that is cut off still reads
-        from it under its lease, and a replica answers reads.
+        meanwhile, so that it rejects writes. That does not end the wait: a proxy that is
+        cut off still reads from it under its lease, and a replica answers reads.
 
         Args:
             term: Highest term that an instance has reported.
--- a/src/heatherpier/leases/_history.py
+++ b/src/heatherpier/leases/_history.py
@@ -77,9 +77,9 @@
         """Records that a member is removed now."""
         now = self._timers.elapsed()
         self._removed_at[peer] = now
-        for name, at in list(self._removed_at.items()):
-            if at < now - RETENTION_S:
-                del self._removed_at[name]
+        self._removed_at = {
+            item: at for item, at in self._removed_at.items() if at >= now - RETENTION_S
+        }
 
     def note_gap(self, version: int) -> None:
         """Records that a voter set may have been current without being seen here.
