Leases: removed members may grant each other leases, so a change waits for that too

It was found by the model of leases once that had members which were removed before the change: if several are removed one after the other while they are cut off with the primary, they are a majority of the voter set that they know, and give each other grants until their views are 8 s old. A change whose remaining members had released waited only 3 s from the last removal, then promoted.

Ruled out: a removal needs half of the voters, but each removal shrinks the voter set, so a lone proxy can remove the second of three; removed members that hear of a removal refuse themselves, but only if one of them has heard.

Change: with a removed member, all releases are enough only if half of each voter set on which a grant may rest has released, or when the last grant has expired (9.4 s after the removal).

A proxy that outlives most of the fleet waits longer than before.

--- a/src/heatherpier/leases/_fence.py
+++ b/src/heatherpier/leases/_fence.py
@@ -32,6 +32,8 @@
 # Maximum relative drift between the clocks of two VMs, as a fraction of the time
 # waited for.
 MAX_CLOCK_DRIFT = 0.02
+# Time from a view until the last grant that rests on it has expired for its receiver.
+GRANTS_END_S = (GRANT_MAX_STALENESS_S + GRANT_S) * (1 + MAX_CLOCK_DRIFT)
 CONTROL_TIMEOUT_S = 0.5
 # Pause before a peer or an instance is asked again: a network partition may heal
 # before the leases expire.
@@ -183,10 +185,11 @@
         # A member that was removed recently is not among the peers asked above. The
         # view on which its lease rests is older than its removal, so the lease expires
         # within `LEASE_S` of the removal. Grants to it by the peers that released had
-        # expired before; for ended peers, `_release_at` demands a release quorum. A
-        # member that was removed by mistake and has registered again was asked.
+        # expired before, but removed members may give each other grants. A member that
+        # was removed by mistake and has registered again was asked.
         removed_at = self._view.history.last_removal(ignored=self._released_members())
         await self._sleep_until(removed_at + LEASE_S * (1 + MAX_CLOCK_DRIFT))
+        await self._wait_for_release_quorum(until=removed_at + GRANTS_END_S)
         await self._sleep_until(self._lost_members_end())
 
     def _released_members(self) -> set[Peer]:
@@ -200,8 +203,7 @@
         Such members are unknown here and may grant leases to each other, on views from
         before the restore. It is in the past if the store was never restored.
         """
-        longest_s = (GRANT_MAX_STALENESS_S + GRANT_S) * (1 + MAX_CLOCK_DRIFT)
-        return self._view.copy.epoch_since + longest_s
+        return self._view.copy.epoch_since + GRANTS_END_S
 
     async def _watch_for_other_row(self) -> None:
         """Ends the fence with an error once the view shows another leadership row."""
@@ -290,11 +292,14 @@
         Both waits are extended by the drift between the clocks of two VMs.
         """
         await self._sleep_until(began + LEASE_S * (1 + MAX_CLOCK_DRIFT))
-        grants_end = began + (GRANT_MAX_STALENESS_S + GRANT_S) * (1 + MAX_CLOCK_DRIFT)
-        while self._timers.elapsed() < grants_end and not self._has_release_quorum():
-            await self._timers.sleep(RETRY_PAUSE_S)
+        await self._wait_for_release_quorum(until=began + GRANTS_END_S)
         await self._sleep_until(self._lost_members_end())
 
+    async def _wait_for_release_quorum(self, *, until: float) -> None:
+        """Waits until enough voters have released, but not beyond ``until``."""
+        while self._timers.elapsed() < until and not self._has_release_quorum():
+            await self._timers.sleep(RETRY_PAUSE_S)
+
     def _has_release_quorum(self) -> bool:
         """Returns whether too few voters are left to grant any proxy a lease.
 
--- a/src/heatherpier/leases/tests/_model.py
+++ b/src/heatherpier/leases/tests/_model.py
@@ -6,11 +6,15 @@
 view is younger than 4. So the last grant on a view without the change has expired by
 tick 5, where the search ends. The search visits every order of copies of views,
 grants, releases, ends and starts of the two processes.
+
+A member may have been removed just before the change, so that the coordinator does not ask
+it, or may have been removed and have registered again.
 """
 
 from collections import deque
 from collections.abc import Iterator
 from dataclasses import dataclass, replace
+from enum import Enum
 
 LEASE = 2
 GRANT = 1
@@ -20,6 +24,8 @@
 GRANT_QUORUM = MEMBERS // 2 + 1
 RELEASE_QUORUM = MEMBERS - MEMBERS // 2
 NEVER = -99
+# Tick of the removal of a member that was removed before the change.
+REMOVED_AT = -1
 # Start of the processes that run at the beginning, long before the change.
 INITIAL_START = -50
 
@@ -37,15 +43,32 @@
             that released the old primary.
         waits_for_lease_expiry: Whether a change without all releases waits until the
             leases by the age of the view have expired.
+        waits_for_removed_members: Whether a change waits until the lease of a removed
+            member has expired.
+        removed_members_need_quorum: Whether a change with a removed member also waits
+            for a release quorum, or until no grants are left.
+        returned_members_have_to_release: Whether a member that has registered again
+            is waited for until it has released.
     """
 
     later_incarnation_needs_new_view: bool = True
     later_incarnation_keeps_grants: bool = True
     ended_counts_as_released: bool = False
     waits_for_lease_expiry: bool = True
+    waits_for_removed_members: bool = True
+    removed_members_need_quorum: bool = True
+    returned_members_have_to_release: bool = True
+
+
+class Registration(Enum):
+    """Whether the coordinator knows a member when the change begins."""
+
+    KEPT = "kept"
+    REMOVED = "removed"
+    RETURNED = "returned"
 
 
-@dataclass(frozen=True, slots=True, order=True)
+@dataclass(frozen=True, slots=True)
 class Member:
     """A member that is cut off from the store.
 
@@ -59,6 +82,7 @@
         coordinator_granted_until: Tick at which the grant of the coordinator expires,
             given before the change.
         released: Whether the member's release has reached the coordinator.
+        registration: Whether the coordinator knows the member.
     """
 
     alive: bool = True
@@ -69,6 +93,12 @@
     granted_until: int = NEVER
     coordinator_granted_until: int = NEVER
     released: bool = False
+    registration: Registration = Registration.KEPT
+
+    def sort_key(self) -> tuple[object, ...]:
+        """Returns a key that orders members by all their fields."""
+        fields = tuple(getattr(self, name) for name in self.__slots__[:-1])
+        return (*fields, self.registration.value)
 
 
 @dataclass(frozen=True, slots=True)
@@ -110,12 +140,30 @@
     The coordinator itself counts as a member that has released.
     """
     members = (state.first, state.second)
-    if all(item.released for item in members):
-        return True
+    released = 1 + sum(item.released for item in members)
+    has_quorum = released >= RELEASE_QUORUM
+    if all(is_settled(item, state.tick, rules) for item in members):
+        may_grant_each_other = (
+            rules.removed_members_need_quorum
+            and any(item.registration is Registration.REMOVED for item in members)
+            and state.tick < REMOVED_AT + MAX_STALENESS + GRANT
+        )
+        return has_quorum or not may_grant_each_other
     if state.tick < LEASE and rules.waits_for_lease_expiry:
         return False
-    released = 1 + sum(item.released for item in members)
-    return released >= RELEASE_QUORUM or state.tick >= MAX_STALENESS + GRANT
+    return has_quorum or state.tick >= MAX_STALENESS + GRANT
+
+
+def is_settled(member: Member, tick: int, rules: Rules) -> bool:
+    """Returns whether the coordinator waits for a member no more."""
+    if member.released:
+        return True
+    match member.registration:
+        case Registration.REMOVED:
+            return not rules.waits_for_removed_members or tick >= REMOVED_AT + LEASE
+        case Registration.RETURNED:
+            return not rules.returned_members_have_to_release
+    return False
 
 
 def successors(state: State, rules: Rules) -> Iterator[State]:
@@ -139,6 +187,7 @@
             as_of=NEVER,
             given_until=given_until,
             released=member.released,
+            registration=member.registration,
         )
         yield State(tick, incarnation, other)
         return
@@ -149,7 +198,8 @@
     # The coordinator's request reaches the member, which learns of the change. It
     # answers with its release once the grants that it has given have expired.
     informed = replace(member, knows_change=True)
-    if tick >= member.given_until:
+    is_asked = member.registration is not Registration.REMOVED
+    if is_asked and tick >= member.given_until:
         yield State(tick, replace(informed, released=True), other)
     yield State(tick, informed, other)
     # The other member answers with its copy of the table, and a grant if it may.
@@ -198,14 +248,21 @@
 
 def _canonical(state: State) -> State:
     """Returns the same state for two that differ only in the order of the members."""
-    if state.first <= state.second:
+    if state.first.sort_key() <= state.second.sort_key():
         return state
     return State(state.tick, state.second, state.first)
 
 
 def _initial_members() -> list[Member]:
     return [
-        Member(as_of=as_of, coordinator_granted_until=coordinator_granted_until)
+        Member(
+            as_of=as_of,
+            coordinator_granted_until=coordinator_granted_until,
+            registration=registration,
+        )
         for as_of in (-2, -1)
         for coordinator_granted_until in (NEVER, GRANT)
+        for registration in Registration
+        # A view from the time of the removal would show it.
+        if as_of < REMOVED_AT or registration is not Registration.REMOVED
     ]
