Tests: a kept primary no longer lets two tests wait for ever

Cause: test_a_demoted_primary_is_not_read_by_a_proxy_that_is_cut_off lets the old primary be reached again once its change is announced, and then writes until the second term. Since such a primary is kept, so the second term never comes and the test never ended.

The wait of test_revived_primary.py for a change has a limit of its own.

--- a/src/heatherpier/leases/tests/test_revived_primary.py
+++ b/src/heatherpier/leases/tests/test_revived_primary.py
@@ -18,6 +18,8 @@
 )
 
 PROMOTE_S = 1.0
+# A minority begins to replace a primary after its wait and some probes.
+DETECTION_LIMIT_S = MINORITY_WAIT_S + 3.0
 
 
 @pytest.fixture
@@ -32,7 +34,9 @@
     session = deployment.open("claims-exact", proxy=proxy)
     reading = asyncio.create_task(read_until_cancelled(session, timers))
     engines = deployment.engines.values()
+    until = timers.now() + DETECTION_LIMIT_S
     while not any(engine._coordinators.changing for engine in engines):
+        assert timers.now() < until, "no proxy has begun to replace the primary"
         await timers.sleep(0.001)
     reading.cancel()
 
