Soak: a subclass redirects peers to the relays, instead of an assignment to a method

Found in the reading of the diff: the soak replaced a private method of ZmqPeers and silenced the type checker for it. A subclass overrides it now.

--- a/src/heatherpier/platform/tests/_peer_relays.py
+++ b/src/heatherpier/platform/tests/_peer_relays.py
@@ -12,7 +12,10 @@
 import json
 from collections.abc import Iterator
 from pathlib import Path
+from typing import Any, ClassVar
+from unittest import mock
 
+from heatherpier import _platform_proxy
 from heatherpier.fleet import Peer, ZmqPeers
 from heatherpier.timers import Timers
 
@@ -183,17 +186,22 @@
                 relay.reset()
 
 
+class RelayedPeers(ZmqPeers):
+    """Connects to other proxies through the relays on the ports in `relay_ports`."""
+
+    # Port of the relay to each other proxy's address.
+    relay_ports: ClassVar[dict[str, int]] = {}
+
+    def _connect(self, peer: Peer) -> Any:
+        port = self.relay_ports[peer.host]
+        return super()._connect(dataclasses.replace(peer, host=HOST, port=port))
+
+
 def redirect_peers(settings: str) -> None:
     """Makes this process connect to other proxies through the relays in its settings.
 
     Args:
         settings: Path of the settings file.
     """
-    ports = json.loads(Path(settings).read_text())[RELAYS_KEY]
-    connect = ZmqPeers._connect
-
-    def connect_to_relay(network: ZmqPeers, peer: Peer) -> object:
-        relay = dataclasses.replace(peer, host=HOST, port=ports[peer.host])
-        return connect(network, relay)
-
-    ZmqPeers._connect = connect_to_relay  # type: ignore[method-assign]
+    RelayedPeers.relay_ports = json.loads(Path(settings).read_text())[RELAYS_KEY]
+    mock.patch.object(_platform_proxy, "ZmqPeers", RelayedPeers).start()
