Leases: a model of changes that keep the old primary

Cause: the argument for keeping a primary had tests, but no rule in a model.

The enumeration in the model of leases is one of integers, so that members compare as fast as before.

--- a/src/heatherpier/leases/tests/_model.py
+++ b/src/heatherpier/leases/tests/_model.py
@@ -14,7 +14,7 @@
 from collections import deque
 from collections.abc import Iterator
 from dataclasses import dataclass, replace
-from enum import Enum
+from enum import IntEnum, auto
 
 LEASE = 2
 GRANT = 1
@@ -60,15 +60,15 @@
     returned_members_have_to_release: bool = True
 
 
-class Registration(Enum):
+class Registration(IntEnum):
     """Whether the coordinator knows a member when the change begins."""
 
-    KEPT = "kept"
-    REMOVED = "removed"
-    RETURNED = "returned"
+    KEPT = auto()
+    REMOVED = auto()
+    RETURNED = auto()
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True, slots=True, order=True)
 class Member:
     """A member that is cut off from the store.
 
@@ -95,11 +95,6 @@
     released: bool = False
     registration: Registration = Registration.KEPT
 
-    def sort_key(self) -> tuple[object, ...]:
-        """Returns a key that orders members by all their fields."""
-        fields = tuple(getattr(self, name) for name in self.__slots__[:-1])
-        return (*fields, self.registration.value)
-
 
 @dataclass(frozen=True, slots=True)
 class State:
@@ -248,7 +243,7 @@
 
 def _canonical(state: State) -> State:
     """Returns the same state for two that differ only in the order of the members."""
-    if state.first.sort_key() <= state.second.sort_key():
+    if state.first <= state.second:
         return state
     return State(state.tick, state.second, state.first)
 
--- a/src/heatherpier/leases/tests/test_model.py
+++ b/src/heatherpier/leases/tests/test_model.py
@@ -1,10 +1,10 @@
-"""Exhaustive search of the models of leases and restores, with all rules and without each one."""
+"""Exhaustive searches of the models, with all rules and without each one."""
 
 import dataclasses
 
 import pytest
 
-from heatherpier.leases.tests import _restore_model
+from heatherpier.leases.tests import _keep_model, _restore_model
 from heatherpier.leases.tests._model import Rules, find_two_primaries
 
 
@@ -39,3 +39,15 @@
 def test_the_search_finds_two_primaries_without_one_rule_of_restores(rule):
     rules = dataclasses.replace(_restore_model.Rules(), **{rule: False})
     assert _restore_model.find_two_primaries(rules) is not None
+
+
+def test_no_order_of_events_uses_a_kept_primary_beside_its_successor():
+    assert _keep_model.find_two_primaries(_keep_model.Rules()) is None
+
+
+@pytest.mark.parametrize(
+    "rule", [field.name for field in dataclasses.fields(_keep_model.Rules)]
+)
+def test_the_search_finds_a_kept_primary_that_was_replaced_without_one_rule(rule):
+    rules = dataclasses.replace(_keep_model.Rules(), **{rule: False})
+    assert _keep_model.find_two_primaries(rules) is not None
