Leases: a removal leaves half of the voters on which grants may rest

Cause: let a change with removed members wait until no grant was left.

Ruled out: ignoring a lost history (a coordinator that started after the removals would not know of them), and counting a history with a short gap as complete (the gap was longer than the least time in which an unseen member can come and go).

Change: the rule moves to where the hole opens. A member is removed only if those that answer are half of each voter set of the last 9.4 s; the store deletes the row only if the rows of those that answered are unchanged. A change waits as it did before.

--- a/src/heatherpier/_proxy_engine.py
+++ b/src/heatherpier/_proxy_engine.py
@@ -26,6 +26,7 @@
     LeadershipRows,
     LeaseReleases,
     MemberLiveness,
+    MemberRemoval,
     PeerLinks,
     PeerRanking,
     PeerTableFallback,
@@ -281,8 +282,9 @@
         liveness = MemberLiveness(
             self._location.me.name,
             network=ports.network,
-            links=self._links,
-            store=ports.store,
+            removal=MemberRemoval(
+                links=self._links, store=ports.store, view=self.view, timers=timers
+            ),
             view=self.view,
             timers=timers,
         )
--- a/src/heatherpier/leases/__init__.py
+++ b/src/heatherpier/leases/__init__.py
@@ -33,6 +33,7 @@
 )
 from heatherpier.leases._registration import Registration
 from heatherpier.leases._releases import LeaseReleases
+from heatherpier.leases._removal import MemberRemoval
 from heatherpier.leases._sample_exchange import PositionSamples, SampleExchange
 from heatherpier.leases._table_fallback import PeerTableFallback
 from heatherpier.leases._table_sync import PeerTableSync
@@ -69,6 +70,7 @@
     "LeadershipRecord",
     "Led",
     "MemberLiveness",
+    "MemberRemoval",
     "MemberRecord",
     "NoLease",
     "NotRunningError",
--- a/src/heatherpier/leases/_confirmations.py
+++ b/src/heatherpier/leases/_confirmations.py
@@ -28,8 +28,13 @@
     PrimaryChanger,
 )
 from heatherpier.leases._coordinators import ChangeCoordinators
-from heatherpier.leases._fence import MAX_CLOCK_DRIFT, PrimaryChange
-from heatherpier.leases._grants import GRANT_MAX_STALENESS_S, GRANT_S, grant_quorum
+from heatherpier.leases._fence import PrimaryChange
+from heatherpier.leases._grants import (
+    GRANT_MAX_STALENESS_S,
+    GRANT_S,
+    MAX_CLOCK_DRIFT,
+    grant_quorum,
+)
 from heatherpier.leases._leadership_rows import LeadershipRows
 from heatherpier.leases._messages import ConfirmAnswer, ConfirmRequest
 from heatherpier.leases._peers import REQUEST_TIMEOUT_S
--- a/src/heatherpier/leases/_fence.py
+++ b/src/heatherpier/leases/_fence.py
@@ -7,7 +7,13 @@
 from heatherpier.discovery import InstanceRecord
 from heatherpier.fleet import Peer
 from heatherpier.leases._coordinators import CoordinatorState
-from heatherpier.leases._grants import GRANT_MAX_STALENESS_S, GRANT_S, release_quorum
+from heatherpier.leases._grants import (
+    GRANT_MAX_STALENESS_S,
+    GRANT_S,
+    GRANTS_END_S,
+    MAX_CLOCK_DRIFT,
+    release_quorum,
+)
 from heatherpier.leases._indirect_probes import REACH_TIMEOUT_S, IndirectProber
 from heatherpier.leases._interface import (
     ControlError,
@@ -29,11 +35,6 @@
 PLANNED_DRAIN_S = 0.6
 # A lost primary does not answer, so work on it is aborted at once.
 LOST_DRAIN_S = 0.0
-# Maximum relative drift between the clocks of two VMs, as a fraction of the time
-# waited for.
-MAX_CLOCK_DRIFT = 0.02
-# Time from a view until the last grant that rests on it has expired for its receiver.
-GRANTS_END_S = (GRANT_MAX_STALENESS_S + GRANT_S) * (1 + MAX_CLOCK_DRIFT)
 CONTROL_TIMEOUT_S = 0.5
 # Pause before a peer or an instance is asked again: a network partition may heal
 # before the leases expire.
@@ -185,11 +186,11 @@
         # A member that was removed recently is not among the peers asked above. The
         # view on which its lease rests is older than its removal, so the lease expires
         # within `LEASE_S` of the removal. Grants to it by the peers that released had
-        # expired before, but removed members may give each other grants. A member that
-        # was removed by mistake and has registered again was asked.
+        # expired before, and removed members are too few for a grant quorum, see
+        # `MemberRemoval`. A member that was removed by mistake and has registered again
+        # was asked.
         removed_at = self._view.history.last_removal(ignored=self._released_members())
         await self._sleep_until(removed_at + LEASE_S * (1 + MAX_CLOCK_DRIFT))
-        await self._wait_for_release_quorum(until=removed_at + GRANTS_END_S)
         await self._sleep_until(self._lost_members_end())
 
     def _released_members(self) -> set[Peer]:
@@ -292,13 +293,10 @@
         Both waits are extended by the drift between the clocks of two VMs.
         """
         await self._sleep_until(began + LEASE_S * (1 + MAX_CLOCK_DRIFT))
-        await self._wait_for_release_quorum(until=began + GRANTS_END_S)
-        await self._sleep_until(self._lost_members_end())
-
-    async def _wait_for_release_quorum(self, *, until: float) -> None:
-        """Waits until enough voters have released, but not beyond ``until``."""
-        while self._timers.elapsed() < until and not self._has_release_quorum():
+        grants_end = began + GRANTS_END_S
+        while self._timers.elapsed() < grants_end and not self._has_release_quorum():
             await self._timers.sleep(RETRY_PAUSE_S)
+        await self._sleep_until(self._lost_members_end())
 
     def _has_release_quorum(self) -> bool:
         """Returns whether too few voters are left to grant any proxy a lease.
--- a/src/heatherpier/leases/_grants.py
+++ b/src/heatherpier/leases/_grants.py
@@ -20,6 +20,11 @@
 # this. A change of primary without a release quorum waits for this time and `GRANT_S`,
 # so that the last grant on a copy without the change has expired.
 GRANT_MAX_STALENESS_S = 8.0
+# Maximum relative drift between the clocks of two VMs, as a fraction of the time
+# waited for.
+MAX_CLOCK_DRIFT = 0.02
+# Time from a view until the last grant that rests on it has expired for its receiver.
+GRANTS_END_S = (GRANT_MAX_STALENESS_S + GRANT_S) * (1 + MAX_CLOCK_DRIFT)
 
 
 def grant_quorum(voters: int) -> int:
--- a/src/heatherpier/leases/_liveness.py
+++ b/src/heatherpier/leases/_liveness.py
@@ -2,9 +2,8 @@
 
 from heatherpier.fleet import Peer, PeerNetwork, PeerUnreachableError
 from heatherpier.leases._messages import Ping
-from heatherpier.leases._peers import PeerLinks
-from heatherpier.leases._view import FLEET_TABLE, MEMBER_PREFIX, FleetView
-from heatherpier.tables import RowStore, StoreError
+from heatherpier.leases._removal import MemberRemoval
+from heatherpier.leases._view import FleetView
 from heatherpier.telemetry import get_logger
 from heatherpier.timers import Timers
 
@@ -25,8 +24,7 @@
     Args:
         me: Name of this proxy.
         network: Requests and answers between proxies.
-        links: The other proxies.
-        store: The store.
+        removal: Removes members.
         view: Members and leaders.
         timers: Timer service.
     """
@@ -36,15 +34,13 @@
         me: str,
         *,
         network: PeerNetwork,
-        links: PeerLinks,
-        store: RowStore,
+        removal: MemberRemoval,
         view: FleetView,
         timers: Timers,
     ) -> None:
         self._me = me
         self._network = network
-        self._links = links
-        self._store = store
+        self._removal = removal
         self._view = view
         self._timers = timers
         self._misses: dict[str, int] = {}
@@ -80,21 +76,7 @@
                 reason=str(exc),
             )
             if self._misses[peer.name] >= MAX_MISSES:
-                await self._remove(peer.name)
+                self._misses[peer.name] = 0
+                await self._removal.remove(peer.name)
             return
         self._misses[peer.name] = 0
-
-    async def _remove(self, name: str) -> None:
-        record = self._view.members.get(name)
-        if record is None:
-            return
-        self._misses[name] = 0
-        if not await self._links.reaches_half():
-            log.info("member not removed", member=name, reason="too few voters answer")
-            return
-        try:
-            await self._store.delete(
-                FLEET_TABLE, MEMBER_PREFIX + name, expected=record.version
-            )
-        except StoreError as exc:
-            log.info("member not removed", member=name, reason=str(exc))
--- a/src/heatherpier/leases/_peers.py
+++ b/src/heatherpier/leases/_peers.py
@@ -46,7 +46,7 @@
         voters = self._view.voters()
         missing = release_quorum(len(voters)) - int(self.me in voters)
         asking = {
-            asyncio.create_task(self._answers(peer)) for peer in self.other_voters()
+            asyncio.create_task(self.answers(peer)) for peer in self.other_voters()
         }
         try:
             while asking and missing > 0:
@@ -59,7 +59,8 @@
                 task.cancel()
         return missing <= 0
 
-    async def _answers(self, peer: Peer) -> bool:
+    async def answers(self, peer: Peer) -> bool:
+        """Returns whether a peer answers."""
         try:
             await self._network.request(peer, Ping(), timeout_s=REQUEST_TIMEOUT_S)
         except PeerUnreachableError:
--- a/src/heatherpier/leases/_sample_exchange.py
+++ b/src/heatherpier/leases/_sample_exchange.py
@@ -13,12 +13,11 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from heatherpier.leases._grants import MAX_CLOCK_DRIFT
 from heatherpier.leases._messages import SampleAnswer, SampleReport, SharedSample
 from heatherpier.positions import LogPosition
 from heatherpier.timers import Timers
 
-# Maximum relative drift between the clocks of two VMs.
-MAX_CLOCK_DRIFT = 0.02
 # Older samples serve no route.
 MAX_SHARED_AGE_S = 10.0
 
--- a/src/heatherpier/leases/tests/test_stale_grants_and_reads.py
+++ b/src/heatherpier/leases/tests/test_stale_grants_and_reads.py
@@ -14,7 +14,8 @@
     PeerTableSync,
     SampleExchange,
 )
-from heatherpier.leases._fence import MAX_CLOCK_DRIFT, Fence
+from heatherpier.leases._fence import Fence
+from heatherpier.leases._grants import MAX_CLOCK_DRIFT
 from heatherpier.leases._messages import CopyAnswer, TableAnswer
 from heatherpier.leases._records import encode_leadership, encode_member
 from heatherpier.statements import Done
--- a/src/heatherpier/platform/_store.py
+++ b/src/heatherpier/platform/_store.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import binascii
+from collections.abc import Mapping
 from typing import Any
 
 import aiohttp
@@ -11,6 +12,7 @@
 from heatherpier.platform._clock import StoreClock
 from heatherpier.platform._sockets import make_client_session
 from heatherpier.tables import (
+    NO_CONDITIONS,
     ChangeConflictError,
     Changes,
     HistoryLostError,
@@ -139,14 +141,26 @@
             expected=expected,
         )
 
-    async def delete(self, table: str, key: str, *, expected: int) -> None:
-        """Deletes one row if it has the expected version."""
-        row = {"table": table, "part": "", "key": key}
+    async def delete(
+        self,
+        table: str,
+        key: str,
+        *,
+        expected: int,
+        unchanged: Mapping[str, int] = NO_CONDITIONS,
+    ) -> None:
+        """Deletes one row if it and others have the expected versions."""
+        for version in unchanged.values():
+            self._epoch.check_expected(version)
+        conditions = {key: expected, **unchanged}
         await self._commit(
             {
-                "precondition": [{**row, "ver": number_of(expected)}],
+                "precondition": [
+                    {"table": table, "part": "", "key": item, "ver": number_of(version)}
+                    for item, version in conditions.items()
+                ],
                 "writes": [],
-                "deletes": [row],
+                "deletes": [{"table": table, "part": "", "key": key}],
             },
             expected=expected,
         )
--- a/src/heatherpier/platform/tests/test_store.py
+++ b/src/heatherpier/platform/tests/test_store.py
@@ -228,3 +228,22 @@
     )
     with pytest.raises(error):
         await call
+
+
+async def test_a_delete_is_conditional_on_other_rows_too(client, fake_store):
+    await client.delete("t", "a", expected=3, unchanged={"b": 4, "c": 2})
+    _, path, _, body = fake_store.calls[0]
+    assert path == "/rows-tx"
+    assert body["deletes"] == [{"table": "t", "part": "", "key": "a"}]
+    versions = {row["key"]: row["ver"] for row in body["precondition"]}
+    assert versions == {"a": 3, "b": 4, "c": 2}
+
+
+async def test_a_delete_is_not_sent_with_a_row_of_an_earlier_epoch(client, fake_store):
+    fake_store.epochs = ["1"]
+    await client.read_table("t")
+    with pytest.raises(ChangeConflictError):
+        await client.delete(
+            "t", "a", expected=make_version(1, 3), unchanged={"b": make_version(0, 4)}
+        )
+    assert len(fake_store.calls) == 1
--- a/src/heatherpier/tables/__init__.py
+++ b/src/heatherpier/tables/__init__.py
@@ -15,9 +15,10 @@
     StoreUnavailableError,
 )
 from heatherpier.tables._follower import TableFollower
-from heatherpier.tables._interface import Changes, Row, RowStore
+from heatherpier.tables._interface import NO_CONDITIONS, Changes, Row, RowStore
 
 __all__ = [
+    "NO_CONDITIONS",
     "ChangeConflictError",
     "Changes",
     "HistoryLostError",
--- a/src/heatherpier/tables/_interface.py
+++ b/src/heatherpier/tables/_interface.py
@@ -1,8 +1,13 @@
 """Interface of the coordination store."""
 
+from collections.abc import Mapping
 from dataclasses import dataclass
+from types import MappingProxyType
 from typing import Protocol
 
+# No other rows have to be unchanged.
+NO_CONDITIONS: Mapping[str, int] = MappingProxyType({})
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Row:
@@ -75,11 +80,24 @@
             StoreUnavailableError: The outcome is unknown.
         """
 
-    async def delete(self, table: str, key: str, *, expected: int) -> None:
+    async def delete(
+        self,
+        table: str,
+        key: str,
+        *,
+        expected: int,
+        unchanged: Mapping[str, int] = NO_CONDITIONS,
+    ) -> None:
         """Deletes one row if it has the expected version.
 
+        Args:
+            table: Name of the table.
+            key: Key of the row.
+            expected: Version that the row must have.
+            unchanged: Versions that other rows of the table must have, by key.
+
         Raises:
-            ChangeConflictError: The row has another version; nothing changed.
+            ChangeConflictError: A row has another version; nothing changed.
             StoreRefusedError: The store rejected the call; nothing changed.
             StoreUnavailableError: The outcome is unknown.
         """
