Identities: callers are known by their keys; connections belong to one organisation

Cause: nothing knew a caller's key. Ruled out: checking keys only when a session starts; long sessions would go on with a withdrawn key. Change: the configuration's organisations and keys are decoded; the directory resolves the key before each operation and each statement of a transaction; pools keep the organisation of each connection and close an idle one of another to make room. Active only if the configuration names organisations or the settings ask for keys.

--- a/src/heatherpier/_platform_proxy.py
+++ b/src/heatherpier/_platform_proxy.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 from contextlib import AsyncExitStack
 from dataclasses import fields
+from functools import partial
 
 from prometheus_client import Counter
 
@@ -69,9 +70,9 @@
 EXIT_OK = 0
 
 
-def _read_configuration(body: bytes) -> RoutingTable:
+def _read_configuration(body: bytes, *, identifies_callers: bool) -> RoutingTable:
     try:
-        return decode_config(body)
+        return decode_config(body, identifies_callers=identifies_callers)
     except MalformedRecordError as exc:
         raise UnreadableRowError(str(exc)) from exc
 
@@ -83,13 +84,16 @@
         raise UnreadableRowError(str(exc)) from exc
 
 
-STORE_LAYOUT = StoreLayout(
-    configuration=CONFIG_TABLE,
-    configuration_key=CONFIG_KEY,
-    instances=INSTANCES_TABLE,
-    read_configuration=_read_configuration,
-    read_instance=_read_instance,
-)
+def _make_layout(cfg: VmSettings) -> StoreLayout:
+    return StoreLayout(
+        configuration=CONFIG_TABLE,
+        configuration_key=CONFIG_KEY,
+        instances=INSTANCES_TABLE,
+        read_configuration=partial(
+            _read_configuration, identifies_callers=cfg.identifies_callers
+        ),
+        read_instance=_read_instance,
+    )
 
 
 class PlatformProxy:
@@ -206,7 +210,7 @@
                 control=LineControl(connector=connector, timers=timers),
                 promotions=promotions,
             ),
-            layout=STORE_LAYOUT,
+            layout=_make_layout(cfg),
             timers=timers,
             rng=random.SystemRandom(),
             metrics=self._metrics.registry,
--- a/src/heatherpier/_proxy_engine.py
+++ b/src/heatherpier/_proxy_engine.py
@@ -15,6 +15,7 @@
 from heatherpier._engine_ports import Ports, StoreLayout, UnreadableRowError, VmLocation
 from heatherpier._supervision import Run, run_supervised
 from heatherpier.discovery import InstanceRecord, InstanceRegistry
+from heatherpier.identities import CallerDirectory
 from heatherpier.leases import (
     FLEET_TABLE,
     ChangeCoordinators,
@@ -53,6 +54,7 @@
     ServingMetrics,
     SharedPositions,
     find_route,
+    identify_caller,
 )
 from heatherpier.statements import Failed
 from heatherpier.tables import Row, TableCopy, TableFollower
@@ -158,6 +160,9 @@
         self.context = ServingContext(
             timers=timers,
             routes=self._routes,
+            callers=CallerDirectory(
+                routes=self._routes, configuration_recent=self._configuration_recent
+            ),
             registry=self._registry,
             pools=pools,
             leases=leases,
@@ -352,12 +357,22 @@
         if self.can_serve() and self.view.members:
             self._known.set()
 
-    def open_session(self, database: str) -> CallerSession | Failed:
-        """Returns a session for a new caller, or the answer that rejects the caller."""
+    def open_session(self, database: str, key: str = "") -> CallerSession | Failed:
+        """Returns a session for a new caller, or the answer that rejects the caller.
+
+        Args:
+            database: Name of the database.
+            key: The caller's key, or empty.
+        """
         route = find_route(self.context, database)
         if isinstance(route, Failed):
             return route
-        return CallerSession(database, context=self.context, runner=self._runner)
+        identity = identify_caller(self.context, route, key)
+        if isinstance(identity, Failed):
+            return identity
+        return CallerSession(
+            database, context=self.context, runner=self._runner, key=key
+        )
 
     def _configuration_recent(self) -> bool:
         return self._configurations.age_s() <= CONFIGURATION_MAX_AGE_S
@@ -453,6 +468,9 @@
         back-off or leaving.
         """
         async for _ in self._timers.every(WARM_PERIOD_S):
+            if self._routes.table.organisations is not None:
+                # A connection opened ahead of use would belong to no organisation.
+                continue
             for record in self._registry.all():
                 near = (
                     self._location.distance(record.instance.data_centre)
--- a/src/heatherpier/bench/_simulated_deployment.py
+++ b/src/heatherpier/bench/_simulated_deployment.py
@@ -27,6 +27,7 @@
     AnyCommit,
     BoundedStaleness,
     Consistency,
+    Organisation,
     ReadOwnWrites,
     Route,
     RoutingTable,
@@ -138,13 +139,22 @@
             for kind, consistency in kinds.items()
         }
 
-    def configure(self, routes: dict[str, Consistency], *, padding: str = "") -> int:
+    def configure(
+        self,
+        routes: dict[str, Consistency],
+        *,
+        padding: str = "",
+        organisations: tuple[Organisation, ...] | None = None,
+        keys: dict[str, str] | None = None,
+    ) -> int:
         """Writes a new configuration to the store and returns its version.
 
         Args:
             routes: Consistency of each database, whose name is the name of its service
                 and a suffix after a hyphen.
             padding: Text that makes the row as large as that of many routes.
+            organisations: The organisations, or None if callers are not identified.
+            keys: Name of the organisation that holds each key.
         """
         self._configuration_version += 1
         table = RoutingTable(
@@ -168,6 +178,10 @@
                 )
                 for name in self.groups
             },
+            organisations=None
+            if organisations is None
+            else {item.name: item for item in organisations},
+            keys=keys or {},
         )
         body = f"configuration {self._configuration_version}{padding}".encode()
         self._routing_tables[body] = table
@@ -290,9 +304,11 @@
         await self.timers.sleep(rewrite_s)
         self.store.rewrite_external()
 
-    def open(self, database: str, *, proxy: str = "proxy-0") -> CallerSession:
+    def open(
+        self, database: str, *, proxy: str = "proxy-0", key: str = ""
+    ) -> CallerSession:
         """Opens a session through a proxy, which has to accept it."""
-        session = self.engines[proxy].open_session(database)
+        session = self.engines[proxy].open_session(database, key)
         assert not isinstance(session, Failed), session
         return session
 
--- a/src/heatherpier/bench/_simulated_group.py
+++ b/src/heatherpier/bench/_simulated_group.py
@@ -32,6 +32,7 @@
         in_transaction: Whether the statement ran inside a transaction.
         connection: Number of the connection.
         at: Time of the start, in seconds by `Timers.now`.
+        organisation: Organisation that the connection was opened for, or empty.
     """
 
     id: str
@@ -40,6 +41,7 @@
     in_transaction: bool
     connection: int
     at: float
+    organisation: str = ""
 
 
 @dataclass(slots=True, eq=False)
--- a/src/heatherpier/bench/_simulated_link.py
+++ b/src/heatherpier/bench/_simulated_link.py
@@ -60,7 +60,9 @@
         self._groups = groups
         self._timers = timers
 
-    async def connect(self, instance: Instance, *, service: str) -> "SimulatedLink":
+    async def connect(
+        self, instance: Instance, *, service: str, organisation: str = ""
+    ) -> "SimulatedLink":
         """Opens a connection to the instance of this name and service.
 
         Blocks until cancelled if the instance does not answer the proxy.
@@ -79,7 +81,13 @@
         if target.full:
             raise TooManyConnectionsError(instance.name)
         target.connections += 1
-        return SimulatedLink(group, target, proxy=self._proxy, timers=self._timers)
+        return SimulatedLink(
+            group,
+            target,
+            proxy=self._proxy,
+            timers=self._timers,
+            organisation=organisation,
+        )
 
 
 class SimulatedLink:
@@ -90,6 +98,7 @@
         instance: Instance that the connection leads to.
         proxy: Name of the proxy that opened the connection.
         timers: Timer service.
+        organisation: Organisation that the connection was opened for, or empty.
 
     Attributes:
         number: Number of the connection, unique in the process.
@@ -103,7 +112,9 @@
         *,
         proxy: str,
         timers: Timers,
+        organisation: str = "",
     ) -> None:
+        self._organisation = organisation
         self.number = next(_connection_numbers)
         self.closed = False
         self._group = group
@@ -225,6 +236,7 @@
                 in_transaction=self._transaction is not None,
                 connection=self.number,
                 at=self._timers.now(),
+                organisation=self._organisation,
             )
         )
 
--- a/src/heatherpier/platform/_clients.py
+++ b/src/heatherpier/platform/_clients.py
@@ -36,7 +36,8 @@
 # seconds.
 ACCEPT_BACKLOG = 1024
 
-OpenSession = Callable[[str], CallerSession | Failed]
+# Takes the database and the key of a caller.
+OpenSession = Callable[[str, str], CallerSession | Failed]
 WaitUntilKnown = Callable[[], Awaitable[None]]
 
 
@@ -44,8 +45,8 @@
     """Accepts callers and serves their sessions.
 
     Args:
-        open_session: Opens a session for a database, or returns the failure that the
-            caller is answered with.
+        open_session: Opens a session for a database and a key, or returns the failure
+            that the caller is answered with.
         limits: Returns the active limits.
         wait_until_known: Returns once databases and instances are known, or
             will not be soon.
@@ -150,8 +151,8 @@
 
     Args:
         channel: Connection to the caller.
-        open_session: Opens a session for a database, or returns the failure that the
-            caller is answered with.
+        open_session: Opens a session for a database and a key, or returns the failure
+            that the caller is answered with.
         limits: Returns the active limits.
         wait_until_known: Returns once databases and instances are known, or
             will not be soon.
@@ -197,20 +198,20 @@
         line = await self._channel.read(
             idle_s=limits.message_timeout_s, remainder_s=limits.message_timeout_s
         )
-        # The user after the database has no effect on how the session is served.
         word, _, fields = line.partition(" ")
-        database, _, _ = fields.partition(" ")
+        database, _, key = fields.partition(" ")
         if word != "START" or not database:
+            # The rest of the line may hold a key, which no answer or log shows.
             self._reject(
                 Failed(
                     code=Code.MALFORMED,
-                    reason=f"expected START with a database, got {line!r:.40}",
+                    reason=f"expected START with a database, got {word!r:.10}",
                 )
             )
             return
         await self._wait_until_known()
         session = (
-            STOPPING_FAILURE if self._rejects_new else self._open_session(database)
+            STOPPING_FAILURE if self._rejects_new else self._open_session(database, key)
         )
         if isinstance(session, Failed):
             self._reject(session)
--- a/src/heatherpier/platform/_config.py
+++ b/src/heatherpier/platform/_config.py
@@ -10,6 +10,7 @@
     BoundedStaleness,
     CallerLimits,
     Consistency,
+    Organisation,
     ReadOwnWrites,
     Route,
     RoutingTable,
@@ -36,6 +37,8 @@
     priority: int
     # Maximum age of the data that a read sees; not used by kind "primary".
     max_staleness_ms: float = 0
+    # Whether callers without a known key may use the route.
+    auth_exempt: bool = False
 
 
 class _Service(msgspec.Struct, kw_only=True, rename="camel"):
@@ -46,6 +49,16 @@
     sync_replicas: int = 0
 
 
+class _Tenant(msgspec.Struct, kw_only=True, rename="camel"):
+    name: str
+    api_keys: list[str]
+    priority: int = 0
+    # Operations a second, by all proxies together.
+    rate_per_s: float | None = None
+    # Operations at once.
+    burst: float = 0
+
+
 class _Limits(msgspec.Struct, kw_only=True, rename="camel"):
     # Maximum size of a whole message, because those of the line protocol have no body.
     max_body_bytes: int = 1 << 20
@@ -63,14 +76,20 @@
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = msgspec.field(default_factory=_Limits)
+    tenants: list[_Tenant] | None = None
 
 
 _decoder = msgspec.json.Decoder(_Config)
 
 
-def decode_config(body: bytes) -> RoutingTable:
+def decode_config(body: bytes, *, identifies_callers: bool = False) -> RoutingTable:
     """Decodes a configuration into a routing table.
 
+    Args:
+        body: Content of the configuration's row.
+        identifies_callers: Whether callers need a key even if the configuration names
+            no organisations.
+
     Raises:
         MalformedRecordError: The configuration can't be decoded.
     """
@@ -78,6 +97,9 @@
         cfg = _decoder.decode(body)
     except msgspec.MsgspecError as exc:
         raise MalformedRecordError(f"configuration: {exc}") from exc
+    tenants = cfg.tenants
+    if tenants is None and identifies_callers:
+        tenants = []
     return RoutingTable(
         version=cfg.version,
         routes={item.host: _make_route(item) for item in cfg.routes},
@@ -95,6 +117,22 @@
             idle_timeout_s=cfg.limits.idle_timeout_ms / MS_PER_S,
             transaction_idle_s=cfg.limits.tx_idle_ms / MS_PER_S,
         ),
+        organisations=None
+        if tenants is None
+        else {item.name: _make_organisation(item) for item in tenants},
+        keys={key: item.name for item in tenants or () for key in item.api_keys},
+    )
+
+
+def _make_organisation(item: _Tenant) -> Organisation:
+    # The name is a word of the message that opens a connection to an instance.
+    if not item.name or not item.name.isprintable() or " " in item.name:
+        raise MalformedRecordError(f"tenant: expected a word, got {item.name!r:.60}")
+    return Organisation(
+        name=item.name,
+        priority=item.priority,
+        rate_per_s=item.rate_per_s,
+        burst=item.burst,
     )
 
 
@@ -106,6 +144,7 @@
         statement_timeout_s=item.timeout_ms / MS_PER_S,
         objective_s=item.target_latency_ms / MS_PER_S,
         priority=item.priority,
+        open_to_all=item.auth_exempt,
     )
 
 
--- a/src/heatherpier/platform/_settings.py
+++ b/src/heatherpier/platform/_settings.py
@@ -8,6 +8,9 @@
 from heatherpier.platform._errors import MalformedRecordError
 from heatherpier.platform._instances import split_address
 
+# Contract under which callers are identified by their keys.
+IDENTITIES_CONTRACT = "tenants"
+
 
 class _Listen(msgspec.Struct, kw_only=True):
     # Address for callers, as ``IP:port``.
@@ -50,6 +53,8 @@
     seeds: list[str] = []
     limits: _Limits = msgspec.field(default_factory=_Limits)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+    # Names of the parts of the rules that are in force.
+    contracts: list[str] = []
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -69,6 +74,7 @@
         promotions: Address at which promotions are requested, as ``IP:port``.
         seeds: Hosts of other proxies, which may be out of date.
         grace_s: Time from SIGTERM to SIGKILL, in seconds.
+        identifies_callers: Whether callers need a key.
     """
 
     name: str
@@ -83,6 +89,7 @@
     promotions: str
     seeds: tuple[str, ...]
     grace_s: float
+    identifies_callers: bool = False
 
     def distance(self, data_centre: str) -> int:
         """Returns 0 for the VM's data centre, 1 for others of its region, else 2."""
@@ -124,4 +131,5 @@
         promotions=raw.cloud_api.address,
         seeds=seeds,
         grace_s=raw.bounds.grace_s,
+        identifies_callers=IDENTITIES_CONTRACT in raw.contracts,
     )
--- a/src/heatherpier/platform/_upstream.py
+++ b/src/heatherpier/platform/_upstream.py
@@ -41,13 +41,16 @@
     """Implements `InstanceConnector` by the line protocol.
 
     Args:
-        caller: Name of this proxy, as which it connects to instances.
+        caller: Name of this proxy, as which it connects to instances for statements of
+            its own and of callers without an organisation.
     """
 
     def __init__(self, *, caller: str) -> None:
         self._caller = caller
 
-    async def connect(self, instance: Instance, *, service: str) -> InstanceLink:
+    async def connect(
+        self, instance: Instance, *, service: str, organisation: str = ""
+    ) -> InstanceLink:
         """Opens a connection to the instance of that name and service.
 
         Raises:
@@ -62,7 +65,7 @@
             raise ConnectError(f"{instance.name}: {exc}") from exc
         link = LineLink(channel, name=instance.name)
         try:
-            await link.start(service=service, caller=self._caller)
+            await link.start(service=service, caller=organisation or self._caller)
         except BaseException:
             link.abort()
             raise
--- a/src/heatherpier/platform/tests/test_clients.py
+++ b/src/heatherpier/platform/tests/test_clients.py
@@ -70,11 +70,18 @@
 
 
 @pytest.fixture
-async def listener(sessions, configured):
-    def open_session(database):
+def keys():
+    """Returns the keys with which sessions were opened."""
+    return []
+
+
+@pytest.fixture
+async def listener(sessions, configured, keys):
+    def open_session(database, key):
         if database == "absent":
             return Failed(code=Code.UNKNOWN_DATABASE, reason="absent")
         sessions.append(FakeSession(database))
+        keys.append(key)
         return sessions[-1]
 
     async def wait_until_known():
@@ -167,6 +174,16 @@
 ]
 
 
+async def test_key_passes_to_the_session_and_into_no_answer(connect, keys):
+    """Guards against keys in answers and logs, also of malformed first messages."""
+    assert await send(await connect(), "START db k-1\r\n", lines=1) == ["READY I -\r\n"]
+    assert keys == ["k-1"]
+    for text in ("START absent k-1\r\n", "BEGIN db k-1\r\n"):
+        [line] = await send(await connect(), text, lines=1)
+        assert line.startswith("ERR ")
+        assert "k-1" not in line
+
+
 @pytest.mark.parametrize("text", MALFORMED_STARTS)
 async def test_malformed_start_closes_only_its_connection(connect, text):
     other = await start(connect)
--- a/src/heatherpier/platform/tests/test_records.py
+++ b/src/heatherpier/platform/tests/test_records.py
@@ -77,6 +77,46 @@
     assert table.limits.transaction_idle_s == 2.0
 
 
+def test_organisations_and_their_keys_are_decoded():
+    table = decode_config(
+        encode(
+            CONFIG
+            | {
+                "routes": [ROUTE | {"authExempt": True}],
+                "tenants": [
+                    {
+                        "name": "bode",
+                        "apiKeys": ["k1", "k2"],
+                        "priority": 1,
+                        "ratePerS": 83,
+                        "burst": 50,
+                    },
+                    {"name": "sola", "apiKeys": []},
+                ],
+            }
+        )
+    )
+    assert table.organisations["bode"].rate_per_s == 83
+    assert table.organisations["bode"].burst == 50
+    assert table.organisations["sola"].rate_per_s is None
+    assert table.keys == {"k1": "bode", "k2": "bode"}
+    assert table.routes["db1"].open_to_all
+    assert "k1" not in repr(table)
+
+
+def test_settings_may_require_keys_before_organisations_are_named():
+    assert decode_config(encode(CONFIG)).organisations is None
+    table = decode_config(encode(CONFIG), identifies_callers=True)
+    assert table.organisations == {}
+
+
+@pytest.mark.parametrize("name", ["", "a b", "a\r\nQUERY"])
+def test_organisation_whose_name_would_break_a_message_is_rejected(name):
+    tenants = [{"name": name, "apiKeys": ["k1"]}]
+    with pytest.raises(MalformedRecordError, match="tenant"):
+        decode_config(encode(CONFIG | {"tenants": tenants}))
+
+
 @pytest.mark.parametrize(
     "body",
     [
--- a/src/heatherpier/pooling/_connection.py
+++ b/src/heatherpier/pooling/_connection.py
@@ -45,14 +45,24 @@
 
     Attributes:
         instance: Name of the instance.
+        organisation: Name of the organisation that it was opened for, or empty. Only
+            statements of that organisation run on it.
         usable: Whether it can run another statement.
         opened_at: Monotonic time in seconds at which it was opened.
         used_at: Monotonic time in seconds of its last answer.
         values: Session values that are set on it.
     """
 
-    def __init__(self, link: InstanceLink, *, instance: str, timers: Timers) -> None:
+    def __init__(
+        self,
+        link: InstanceLink,
+        *,
+        instance: str,
+        timers: Timers,
+        organisation: str = "",
+    ) -> None:
         self.instance = instance
+        self.organisation = organisation
         self.usable = True
         self.opened_at = timers.now()
         self.used_at = timers.now()
--- a/src/heatherpier/pooling/_interface.py
+++ b/src/heatherpier/pooling/_interface.py
@@ -28,9 +28,17 @@
 class InstanceConnector(Protocol):
     """Opens connections to instances."""
 
-    async def connect(self, instance: Instance, *, service: str) -> InstanceLink:
+    async def connect(
+        self, instance: Instance, *, service: str, organisation: str = ""
+    ) -> InstanceLink:
         """Opens a connection to the instance of that name and service.
 
+        Args:
+            instance: The instance.
+            service: Service that the instance belongs to.
+            organisation: Name of the organisation whose statements will run on the
+                connection, or empty if none is identified.
+
         Raises:
             ConnectError: Nothing answers at the address, or another instance does.
             TooManyConnectionsError: The instance is at its connection limit.
--- a/src/heatherpier/pooling/_pool.py
+++ b/src/heatherpier/pooling/_pool.py
@@ -51,6 +51,19 @@
 ROLLBACK_TIMEOUT_S = 0.5
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Waiter:
+    """A waiter for a connection.
+
+    Attributes:
+        fut: Result of the wait: a connection, or None for the permission to open one.
+        organisation: Organisation whose statement waits, or empty.
+    """
+
+    fut: asyncio.Future[InstanceConnection | None]
+    organisation: str
+
+
 @dataclass(slots=True)
 class PoolLimits:
     """Bounds of a pool, which may change at any time.
@@ -106,9 +119,7 @@
         self._idle: list[InstanceConnection] = []
         self._open = 0
         self._opening = 0
-        self._waiters: list[
-            tuple[int, int, asyncio.Future[InstanceConnection | None]]
-        ] = []
+        self._waiters: list[tuple[int, int, _Waiter]] = []
         # Monotonic times in seconds at which the waiters began to wait, by sequence.
         self._waiting_since: dict[int, float] = {}
         self._sequence = itertools.count()
@@ -127,7 +138,7 @@
     @property
     def waiting(self) -> int:
         """Number of waiters without a connection."""
-        return sum(not fut.done() for _, _, fut in self._waiters)
+        return sum(not waiter.fut.done() for _, _, waiter in self._waiters)
 
     def expected_wait_s(self) -> float:
         """Returns how long a new waiter would wait, in seconds."""
@@ -138,12 +149,18 @@
         return self._queue_wait_s()
 
     async def acquire(
-        self, values: Mapping[str, str], *, priority: int, deadline: float
+        self,
+        values: Mapping[str, str],
+        *,
+        priority: int,
+        deadline: float,
+        organisation: str = "",
     ) -> InstanceConnection:
         """Acquires a connection, to be returned by `release`.
 
         Args:
             values: Session values; a connection that has exactly them is preferred.
+            organisation: Organisation that the connection has to belong to, or empty.
             priority: Priority of the waiter; lower numbers are served first.
             deadline: Monotonic time in seconds at which the wait ends.
 
@@ -152,36 +169,55 @@
             ConnectError: No connection can be opened.
         """
         while True:
-            conn = self._take_idle(values) or await self._try_open()
+            conn = self._take_idle(values, organisation)
+            conn = conn or await self._try_open(organisation)
             if conn is None:
-                conn = await self._wait(priority, deadline)
-                conn = conn or await self._try_open(offered=True)
+                conn = await self._wait(priority, deadline, organisation)
+                conn = conn or await self._try_open(organisation, offered=True)
             if conn is not None and await self._is_alive(conn):
                 return conn
 
-    def _take_idle(self, values: Mapping[str, str]) -> InstanceConnection | None:
-        if not self._idle:
+    def _take_idle(
+        self, values: Mapping[str, str], organisation: str
+    ) -> InstanceConnection | None:
+        """Returns an idle connection of the organisation, the last used one first."""
+        usable = [conn for conn in self._idle if conn.organisation == organisation]
+        if not usable:
             return None
-        for index in range(len(self._idle) - 1, -1, -1):
-            if self._idle[index].values == values:
-                return self._idle.pop(index)
-        return self._idle.pop()
-
-    async def _try_open(self, *, offered: bool = False) -> InstanceConnection | None:
+        conn = next((item for item in reversed(usable) if item.values == values), None)
+        conn = conn or usable[-1]
+        self._idle.remove(conn)
+        return conn
+
+    async def _try_open(
+        self, organisation: str, *, offered: bool = False
+    ) -> InstanceConnection | None:
         """Opens a connection; returns None if the pool or the instance is full.
 
         Args:
+            organisation: Organisation that it is opened for, or empty.
             offered: Whether a waiter was told that it may open one.
         """
         if not (self._has_room() if offered else self._may_open()):
-            return None
+            if not self._idle or self._timers.now() < self._backoff_until:
+                return None
+            self._close_oldest_idle()
         try:
-            return await self._open_one()
+            return await self._open_one(organisation)
         except TooManyConnectionsError as exc:
             self._back_off(str(exc))
             return None
 
-    async def _wait(self, priority: int, deadline: float) -> InstanceConnection | None:
+    def _close_oldest_idle(self) -> None:
+        """Closes the idle connection that was not used for longest, to make room."""
+        conn = min(self._idle, key=lambda item: item.used_at)
+        self._idle.remove(conn)
+        conn.abort()
+        self._open -= 1
+
+    async def _wait(
+        self, priority: int, deadline: float, organisation: str
+    ) -> InstanceConnection | None:
         """Waits for a connection, or for capacity to open one (then returns None)."""
         wait_s = self.expected_wait_s()
         if self._timers.now() + wait_s >= deadline:
@@ -189,7 +225,8 @@
         fut: asyncio.Future[InstanceConnection | None]
         fut = asyncio.get_running_loop().create_future()
         sequence = next(self._sequence)
-        heapq.heappush(self._waiters, (priority, sequence, fut))
+        waiter = _Waiter(fut=fut, organisation=organisation)
+        heapq.heappush(self._waiters, (priority, sequence, waiter))
         self._waiting_since[sequence] = self._timers.now()
         if not self._growing and self._open < self.limits.hard_limit:
             self._growing = True
@@ -279,7 +316,7 @@
         now = self._timers.now()
         return now - next(iter(self._waiting_since.values()), now)
 
-    async def _open_one(self) -> InstanceConnection:
+    async def _open_one(self, organisation: str) -> InstanceConnection:
         if self._closed:
             raise ConnectError(f"{self.instance.name}: the pool is closed")
         self._open += 1
@@ -287,7 +324,7 @@
         try:
             async with self._timers.timeout(CONNECT_TIMEOUT_S):
                 link = await self._connector.connect(
-                    self.instance, service=self._service
+                    self.instance, service=self._service, organisation=organisation
                 )
         except TimeoutError as exc:
             self._note_closed()
@@ -302,7 +339,10 @@
         self.opened += 1
         self._offer_capacity()
         return InstanceConnection(
-            link, instance=self.instance.name, timers=self._timers
+            link,
+            instance=self.instance.name,
+            timers=self._timers,
+            organisation=organisation,
         )
 
     async def _is_alive(self, conn: InstanceConnection) -> bool:
@@ -385,10 +425,16 @@
         None stands for the capacity to open one.
         """
         while self._waiters:
-            _, _, fut = heapq.heappop(self._waiters)
-            if not fut.done():
-                fut.set_result(conn)
-                return
+            _, _, waiter = heapq.heappop(self._waiters)
+            if waiter.fut.done():
+                continue
+            if conn is not None and conn.organisation != waiter.organisation:
+                # The waiter opens a connection of its own in place of this one.
+                conn.abort()
+                self._open -= 1
+                conn = None
+            waiter.fut.set_result(conn)
+            return
         if conn is not None:
             self._idle.append(conn)
             if self._open > 1 and not self._trimming:
@@ -419,7 +465,7 @@
             ConnectError: The instance does not answer.
         """
         if not self._open and not self._shares_in_turn():
-            conn = await self._try_open()
+            conn = await self._try_open("")
             if conn is not None:
                 self._hand_over(conn)
 
@@ -427,9 +473,9 @@
         """Closes idle connections now and acquired ones when they are released."""
         self._closed = True
         self.close_idle()
-        for _, _, fut in self._waiters:
-            if not fut.done():
-                fut.set_exception(
+        for _, _, waiter in self._waiters:
+            if not waiter.fut.done():
+                waiter.fut.set_exception(
                     ConnectError(f"{self.instance.name}: the pool is closed")
                 )
         self._waiters.clear()
--- a/src/heatherpier/pooling/tests/test_crowded_primary.py
+++ b/src/heatherpier/pooling/tests/test_crowded_primary.py
@@ -41,7 +41,7 @@
         self.open = Counter()
         self.handshakes = 0
 
-    async def connect(self, instance, *, service):
+    async def connect(self, instance, *, service, organisation=""):
         lingering = PROXIES if self.timers.now() < LINGER_S else 0
         await self.timers.sleep(ROUND_TRIP_S)
         if lingering + self.open[service] >= MAX_CONNECTIONS:
--- a/src/heatherpier/pooling/tests/test_pool.py
+++ b/src/heatherpier/pooling/tests/test_pool.py
@@ -35,7 +35,7 @@
         self.capacity = 100
         self.error = None
 
-    async def connect(self, instance, *, service):
+    async def connect(self, instance, *, service, organisation=""):
         self.attempts += 1
         await self.timers.sleep(0.012)
         if self.error is not None:
--- a/src/heatherpier/routing/_types.py
+++ b/src/heatherpier/routing/_types.py
@@ -45,6 +45,7 @@
         statement_timeout_s: Longest time for one statement, in seconds.
         objective_s: Latency objective of a whole operation, in seconds.
         priority: Priority of its statements; 0 is served first.
+        open_to_all: Whether callers without a known key may use it.
     """
 
     database: str
@@ -53,6 +54,7 @@
     statement_timeout_s: float
     objective_s: float
     priority: int
+    open_to_all: bool = False
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -72,6 +74,24 @@
     synchronous_replicas: int
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Organisation:
+    """A company whose callers share keys and a rate limit.
+
+    Attributes:
+        name: Name by which instances know it.
+        priority: Priority among organisations; 0 is the highest.
+        rate_per_s: Operations per second that all proxies together may run for it, or
+            None if there is no limit.
+        burst: Operations that it may run at once beyond the rate.
+    """
+
+    name: str
+    priority: int = 0
+    rate_per_s: float | None = None
+    burst: float = 0.0
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class CallerLimits:
     """Limits on the connections of callers.
@@ -99,9 +119,14 @@
         routes: Routes by the name of their database.
         services: Services by their name.
         limits: Limits on the connections of callers.
+        organisations: Organisations by name, or None if callers are not identified.
+        keys: Name of the organisation that holds each key.
     """
 
     version: int
     routes: Mapping[str, Route] = field(default_factory=dict)
     services: Mapping[str, ServiceSpec] = field(default_factory=dict)
     limits: CallerLimits = field(default_factory=CallerLimits)
+    organisations: Mapping[str, Organisation] | None = None
+    # Left out of the text form, so that no log line or traceback shows a key.
+    keys: Mapping[str, str] = field(default_factory=dict, repr=False)
--- a/src/heatherpier/serving/__init__.py
+++ b/src/heatherpier/serving/__init__.py
@@ -6,7 +6,7 @@
 from heatherpier.serving._positions import PositionHistory, PositionSample
 from heatherpier.serving._replica_selector import ReplicaSelector
 from heatherpier.serving._runner import Runner
-from heatherpier.serving._session import CallerSession, find_route
+from heatherpier.serving._session import CallerSession, find_route, identify_caller
 from heatherpier.serving._shared_positions import SharedPositions
 
 __all__ = [
@@ -20,4 +20,5 @@
     "ServingMetrics",
     "SharedPositions",
     "find_route",
+    "identify_caller",
 ]
--- a/src/heatherpier/serving/_attempts.py
+++ b/src/heatherpier/serving/_attempts.py
@@ -130,6 +130,7 @@
         queue_until = self.queue_until(pool, statement, until=until)
         conn = await pool.acquire(
             statement.needs.values,
+            organisation=statement.organisation,
             priority=statement.route.priority,
             deadline=queue_until,
         )
--- a/src/heatherpier/serving/_context.py
+++ b/src/heatherpier/serving/_context.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from heatherpier.discovery import InstanceRegistry
+from heatherpier.identities import CallerDirectory
 from heatherpier.leases import InFlightWork, Lease, NoLease, PrimaryLeases
 from heatherpier.pooling import InstancePools
 from heatherpier.positions import LogPosition
@@ -29,6 +30,7 @@
     Attributes:
         timers: Timer service.
         routes: The active routing table.
+        callers: Identifies callers by their keys.
         registry: The registered instances.
         pools: Connection pools of the instances.
         leases: Leases on primaries.
@@ -44,6 +46,7 @@
 
     timers: Timers
     routes: ActiveRoutes
+    callers: CallerDirectory
     registry: InstanceRegistry
     pools: InstancePools
     leases: PrimaryLeases
--- a/src/heatherpier/serving/_pending_statement.py
+++ b/src/heatherpier/serving/_pending_statement.py
@@ -26,6 +26,8 @@
         writes: Whether it may change data.
         own_commit: Position of the session's last commit, or None if the session has
             not committed anything.
+        organisation: Organisation whose statement it is, or empty if callers are not
+            identified.
     """
 
     call: Forward | ForwardExecute
@@ -34,6 +36,7 @@
     deadline: float
     writes: bool
     own_commit: LogPosition | None = None
+    organisation: str = ""
 
     @property
     def id(self) -> str:
--- a/src/heatherpier/serving/_session.py
+++ b/src/heatherpier/serving/_session.py
@@ -2,6 +2,7 @@
 
 from dataclasses import replace
 
+from heatherpier.identities import Anonymous, Identified, Rejected
 from heatherpier.pooling import (
     Forward,
     ForwardExecute,
@@ -59,19 +60,38 @@
     )
 
 
+def identify_caller(
+    context: ServingContext, route: Route, key: str
+) -> Identified | Anonymous | Failed:
+    """Returns who a caller of a route is, or the failure to answer."""
+    identity = context.callers.identify(route, key)
+    if not isinstance(identity, Rejected):
+        return identity
+    reason = f"the key is not in configuration {context.routes.table.version}"
+    if identity.final:
+        return Failed(code=Code.UNKNOWN_KEY, reason=reason)
+    return Failed(
+        code=Code.OVERLOADED,
+        reason=f"{reason}, which may be out of date",
+        retry_after_ms=RETRY_AFTER_MS,
+    )
+
+
 class CallerSession:
     """One session of one caller.
 
     Args:
         database: Name of the database that the caller opened the session for.
+        key: The caller's key, or empty.
         context: State that all sessions share.
         runner: Runs single statements.
     """
 
     def __init__(
-        self, database: str, *, context: ServingContext, runner: Runner
+        self, database: str, *, context: ServingContext, runner: Runner, key: str = ""
     ) -> None:
         self.database = database
+        self._key = key
         self._context = context
         self._runner = runner
         self._values: dict[str, str] = {}
@@ -151,8 +171,15 @@
         route = self._find_route()
         if isinstance(route, Reply):
             return route
+        organisation = self._identify(route)
+        if isinstance(organisation, Failed):
+            return Reply(outcome=organisation, state=SessionState.IDLE)
         self._transaction = Transaction(
-            context=self._context, runner=self._runner, route=route, read_only=read_only
+            context=self._context,
+            runner=self._runner,
+            route=route,
+            read_only=read_only,
+            organisation=organisation,
         )
         return self._done_reply()
 
@@ -169,9 +196,15 @@
             return failed_reply(Code.MALFORMED, "no transaction is open")
         if transaction.ended:
             return self._rolled_back_reply()
+        failure = self._end_if_not_identified(transaction)
+        if failure is not None:
+            return failure
         call = Forward(id=query.id, text=query.text)
         statement = self._pending_statement(
-            call, transaction.route, writes=transaction.wrote
+            call,
+            transaction.route,
+            writes=transaction.wrote,
+            organisation=transaction.organisation,
         )
         reply = await transaction.commit(statement)
         self._transaction = None
@@ -205,11 +238,23 @@
         route = self._find_route() if transaction is None else transaction.route
         if isinstance(route, Reply):
             return route
+        if transaction is not None:
+            if transaction.ended:
+                return self._rolled_back_reply()
+            failure = self._end_if_not_identified(transaction)
+            if failure is not None:
+                return failure
+            organisation: str | Failed = transaction.organisation
+        else:
+            organisation = self._identify(route)
+        if isinstance(organisation, Failed):
+            return Reply(outcome=organisation, state=SessionState.IDLE)
         statement = self._pending_statement(
             call or Forward(id=query.id, text=query.text),
             route,
             writes=writes,
             prepared=prepared,
+            organisation=organisation,
         )
         if transaction is not None:
             return await self._run_in_transaction(transaction, statement)
@@ -221,8 +266,6 @@
     async def _run_in_transaction(
         self, transaction: Transaction, statement: PendingStatement
     ) -> Reply:
-        if transaction.ended:
-            return self._rolled_back_reply()
         reply = await transaction.run(statement)
         if transaction.ended:
             self._transaction = None
@@ -234,12 +277,34 @@
             Code.ABORTED, "the transaction was rolled back while it was idle"
         )
 
+    def _identify(self, route: Route) -> str | Failed:
+        """Returns the caller's organisation, empty for none, or why it is rejected."""
+        match identify_caller(self._context, route, self._key):
+            case Identified(organisation=name):
+                return name
+            case Anonymous():
+                return ""
+            case failure:
+                return failure
+
+    def _end_if_not_identified(self, transaction: Transaction) -> Reply | None:
+        """Rolls a transaction back if the key no longer belongs to its organisation."""
+        organisation = self._identify(transaction.route)
+        if organisation == transaction.organisation:
+            return None
+        transaction.roll_back()
+        self._transaction = None
+        if isinstance(organisation, Failed):
+            return Reply(outcome=organisation, state=SessionState.IDLE)
+        return failed_reply(Code.ABORTED, "the key belongs to another organisation now")
+
     def _pending_statement(
         self,
         call: Forward | ForwardExecute,
         route: Route,
         *,
         writes: bool,
+        organisation: str,
         prepared: PrepareShape | None = None,
     ) -> PendingStatement:
         return PendingStatement(
@@ -249,6 +314,7 @@
             deadline=self._context.timers.now() + route.statement_timeout_s,
             writes=writes,
             own_commit=self._own_commit,
+            organisation=organisation,
         )
 
     def _note_commit(self, reply: Reply) -> None:
--- a/src/heatherpier/serving/_transaction.py
+++ b/src/heatherpier/serving/_transaction.py
@@ -36,14 +36,22 @@
 
     Attributes:
         route: The route that was active at the opening.
+        organisation: Organisation of the caller at the opening, or empty.
         ended: Whether it has ended.
         wrote: Whether a statement that may change data has succeeded in it.
     """
 
     def __init__(
-        self, *, context: ServingContext, runner: Runner, route: Route, read_only: bool
+        self,
+        *,
+        context: ServingContext,
+        runner: Runner,
+        route: Route,
+        read_only: bool,
+        organisation: str = "",
     ) -> None:
         self.route = route
+        self.organisation = organisation
         self.ended = False
         self.wrote = False
         self._context = context
@@ -137,6 +145,7 @@
         try:
             conn = await pool.acquire(
                 statement.needs.values,
+                organisation=statement.organisation,
                 priority=self.route.priority,
                 deadline=self._runner.attempts.queue_until(
                     pool, statement, until=statement.deadline - MIN_EXECUTION_S
--- a/src/heatherpier/statements/_answers.py
+++ b/src/heatherpier/statements/_answers.py
@@ -32,6 +32,7 @@
     FAILED = "failed"
     UNKNOWN_STATEMENT = "unknown statement"
     UNKNOWN_DATABASE = "unknown database"
+    UNKNOWN_KEY = "unknown key"
     TOO_LARGE = "too large"
     MALFORMED = "malformed"
 
