--- a/src/heatherpier/_platform_proxy.py
+++ b/src/heatherpier/_platform_proxy.py
@@ -36,6 +36,7 @@
     decode_config,
     decode_instance,
 )
+from heatherpier.quotas import QUOTA_MESSAGES
 from heatherpier.routing import RoutingTable
 from heatherpier.telemetry import (
     AdminServer,
@@ -189,7 +190,7 @@
         network = ZmqPeers(
             me,
             keys=None,
-            codec=Codec(LEASE_MESSAGES),
+            codec=Codec((*LEASE_MESSAGES, *QUOTA_MESSAGES)),
             timers=timers,
             on_sent=self._count_sent,
         )
@@ -214,6 +215,7 @@
             timers=timers,
             rng=random.SystemRandom(),
             metrics=self._metrics.registry,
+            limits_rates=cfg.quota_window_s > 0,
         )
 
     def _peer(self, name: str, host: str) -> Peer:
--- a/src/heatherpier/_proxy_engine.py
+++ b/src/heatherpier/_proxy_engine.py
@@ -44,6 +44,7 @@
     InstancePools,
     PoolLimits,
 )
+from heatherpier.quotas import FleetRows, OpenGate, QuotaGate, QuotaMetrics, RowProof
 from heatherpier.routing import ActiveRoutes, RoutingTable
 from heatherpier.serving import (
     CallerSession,
@@ -101,6 +102,7 @@
         timers: Timer service.
         rng: Random source.
         metrics: Registry of the engine's metrics.
+        limits_rates: Whether the rates of organisations are limited.
 
     Attributes:
         context: State that all sessions share.
@@ -116,6 +118,7 @@
         timers: Timers,
         rng: random.Random,
         metrics: CollectorRegistry,
+        limits_rates: bool = False,
     ) -> None:
         self._location = location
         self._ports = ports
@@ -124,6 +127,8 @@
         self._rng = rng
         self._routes = ActiveRoutes()
         self._known = asyncio.Event()
+        self._stack = AsyncExitStack()
+        self._quota_runs: tuple[Run, ...] = ()
         self._registry = InstanceRegistry(timers=timers)
         self._health = InstanceHealth(timers=timers)
         self._configurations = TableCopy(layout.configuration, timers=timers)
@@ -173,6 +178,7 @@
             read_limiters={},
             metrics=ServingMetrics(metrics),
             configuration_recent=self._configuration_recent,
+            quotas=self._make_gate(metrics) if limits_rates else OpenGate(),
         )
         self._runner = Runner(self.context)
         network, me = ports.network, location.me.name
@@ -230,7 +236,29 @@
             timers=timers,
         )
         self._watchers: dict[str, asyncio.Task[None]] = {}
-        self._stack = AsyncExitStack()
+
+    def _make_gate(self, metrics: CollectorRegistry) -> QuotaGate:
+        me, view, timers = self._location.me, self.view, self._timers
+        rows = FleetRows(me, view=view, timers=timers)
+        gate = QuotaGate(
+            me,
+            network=self._ports.network,
+            rows=rows,
+            routes=self._routes,
+            distance=self._location.distance,
+            timers=timers,
+            metrics=QuotaMetrics(metrics),
+        )
+        proof = RowProof(
+            me.name,
+            rows=rows,
+            store=self._ports.store,
+            needed=lambda: gate.in_use,
+            timers=timers,
+        )
+        self._quota_runs = (gate.run, proof.run)
+        self._stack.callback(gate.close)
+        return gate
 
     def _note_failure(self, name: str, reason: str) -> None:
         self._health.note_failure(name, reason=reason, sent_at=self._timers.now())
@@ -309,6 +337,7 @@
             table_fallback.run,
             self._expire_instances,
             self._warm_connections,
+            *self._quota_runs,
         ):
             self._start_task(run)
         return self
--- a/src/heatherpier/bench/_simulated_deployment.py
+++ b/src/heatherpier/bench/_simulated_deployment.py
@@ -23,6 +23,7 @@
 from heatherpier.discovery import InstanceRecord
 from heatherpier.fleet import Codec, Peer
 from heatherpier.leases import LEASE_MESSAGES
+from heatherpier.quotas import QUOTA_MESSAGES
 from heatherpier.routing import (
     AnyCommit,
     BoundedStaleness,
@@ -72,6 +73,7 @@
         connections: Maximum number of connections to an instance, as configured.
         synchronous: Number of replicas that hold a commit when it is acknowledged, as
             configured.
+        limits_rates: Whether the rates of organisations are limited.
 
     Attributes:
         timers: Timer service.
@@ -92,12 +94,13 @@
         services: tuple[str, ...] = ("claims",),
         connections: int = MAX_CONNECTIONS,
         synchronous: int = 0,
+        limits_rates: bool = False,
     ) -> None:
         self.timers = timers
         self.rng = random.Random(seed)
         self.store = MemoryRowStore(timers=timers)
         self.fleet = MemoryFleet(
-            timers=timers, codec=Codec(LEASE_MESSAGES), rng=self.rng
+            timers=timers, codec=Codec((*LEASE_MESSAGES, *QUOTA_MESSAGES)), rng=self.rng
         )
         self.groups = {
             name: SimulatedGroup(name, zones=list(ZONES), timers=timers)
@@ -107,6 +110,7 @@
         self.names = [f"proxy-{number}" for number in range(proxies)]
         self._connections = connections
         self._synchronous = synchronous
+        self._limits_rates = limits_rates
         self._exit_stacks: dict[str, AsyncExitStack] = {}
         self._routing_tables: dict[bytes, RoutingTable] = {}
         self._instance_records: dict[bytes, InstanceRecord] = {}
@@ -241,6 +245,7 @@
             timers=self.timers,
             rng=random.Random(self.rng.random()),
             metrics=CollectorRegistry(),
+            limits_rates=self._limits_rates,
         )
         stack = AsyncExitStack()
         await stack.enter_async_context(engine)
--- a/src/heatherpier/platform/_settings.py
+++ b/src/heatherpier/platform/_settings.py
@@ -27,6 +27,9 @@
 class _Bounds(msgspec.Struct, kw_only=True, rename="camel"):
     # Time from SIGTERM to SIGKILL, in seconds.
     grace_s: float = 6
+    # Length of the windows in which the operations of a tenant are counted, in seconds;
+    # 0 if they are not limited.
+    quota_window_s: float = 0
 
 
 class _Platform(msgspec.Struct, kw_only=True):
@@ -75,6 +78,8 @@
         seeds: Hosts of other proxies, which may be out of date.
         grace_s: Time from SIGTERM to SIGKILL, in seconds.
         identifies_callers: Whether callers need a key.
+        quota_window_s: Length of the windows in which the operations of an
+            organisation are limited, in seconds; 0 if they are not.
     """
 
     name: str
@@ -90,6 +95,7 @@
     seeds: tuple[str, ...]
     grace_s: float
     identifies_callers: bool = False
+    quota_window_s: float = 0
 
     def distance(self, data_centre: str) -> int:
         """Returns 0 for the VM's data centre, 1 for others of its region, else 2."""
@@ -132,4 +138,5 @@
         seeds=seeds,
         grace_s=raw.bounds.grace_s,
         identifies_callers=IDENTITIES_CONTRACT in raw.contracts,
+        quota_window_s=raw.bounds.quota_window_s,
     )
--- /dev/null
+++ b/src/heatherpier/quotas/__init__.py
@@ -0,0 +1,21 @@
+"""Limits the operations of each organisation over all proxies."""
+
+from heatherpier.quotas._fleet_rows import FleetRows
+from heatherpier.quotas._gate import QuotaGate
+from heatherpier.quotas._messages import QUOTA_MESSAGES, RightsAnswer, RightsRequest
+from heatherpier.quotas._metrics import QuotaMetrics
+from heatherpier.quotas._right import OpenGate, Refusal, Right
+from heatherpier.quotas._row_proof import RowProof
+
+__all__ = [
+    "QUOTA_MESSAGES",
+    "FleetRows",
+    "OpenGate",
+    "QuotaGate",
+    "QuotaMetrics",
+    "Refusal",
+    "Right",
+    "RightsAnswer",
+    "RightsRequest",
+    "RowProof",
+]
--- /dev/null
+++ b/src/heatherpier/quotas/_allocators.py
@@ -0,0 +1,90 @@
+"""The choice of allocators, the proxies that create rights."""
+
+import heapq
+from collections.abc import Callable, Collection, Mapping
+from dataclasses import dataclass
+from functools import lru_cache
+
+import xxhash
+
+from heatherpier.fleet import Peer
+
+# Number of allocators. Each creates this share of every rate.
+ALLOCATORS = 5
+# Maximum age of an allocator's copy of the members' table, and minimum time for which
+# its own row has stood.
+MAX_VIEW_AGE_S = 20.0
+# Time for which a removed member counts as present. It exceeds `MAX_VIEW_AGE_S`, for
+# which the member may still create rights, by the delay of slow clocks.
+REMOVED_RETENTION_S = 25.0
+# Validity of a right, from the sending of the request for it. A process creates no
+# rights for this time after its start: those of its previous incarnation expire in it.
+RIGHT_VALIDITY_S = 0.5
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Standing:
+    """What a proxy knows of the fleet at one time.
+
+    Attributes:
+        view_age_s: Age of the copy of the members' table, in seconds.
+        row_stood_s: Time in seconds for which this proxy's row had surely stood when
+            the copy was complete.
+        followed_s: Time in seconds over which all removals are known.
+        running_s: Age of this process, in seconds.
+    """
+
+    view_age_s: float
+    row_stood_s: float
+    followed_s: float
+    running_s: float
+
+
+@lru_cache(maxsize=4096)
+def _rank(name: str) -> int:
+    return int(xxhash.xxh64_intdigest(f"allocator {name}".encode()))
+
+
+def first_allocators(names: Collection[str]) -> tuple[str, ...]:
+    """Returns the first `ALLOCATORS` of the names by rendezvous hashing."""
+    return tuple(heapq.nsmallest(ALLOCATORS, names, key=_rank))
+
+
+def why_inactive(me: str, first: Collection[str], standing: Standing) -> str:
+    """Returns why a proxy creates no rights, or an empty text if it does.
+
+    Args:
+        me: Name of the proxy.
+        first: First of its members by `first_allocators`, with those removed within
+            `REMOVED_RETENTION_S` counted as present.
+        standing: What the proxy knows of the fleet.
+    """
+    if me not in first:
+        return "others come first"
+    if standing.running_s < RIGHT_VALIDITY_S:
+        return "just started"
+    if standing.view_age_s > MAX_VIEW_AGE_S:
+        return "members out of date"
+    if standing.row_stood_s < MAX_VIEW_AGE_S:
+        return "own row is new"
+    if standing.followed_s < MAX_VIEW_AGE_S:
+        return "earlier removals unknown"
+    return ""
+
+
+def peers_to_ask(
+    first: Collection[str],
+    members: Mapping[str, Peer],
+    *,
+    distance: Callable[[str], int],
+) -> tuple[Peer, ...]:
+    """Returns the allocators that have an address, nearest first.
+
+    Args:
+        first: Names of the allocators.
+        members: Present members by name.
+        distance: Distance to a data centre.
+    """
+    peers = [members[name] for name in first if name in members]
+    peers.sort(key=lambda peer: (distance(peer.data_centre), _rank(peer.name)))
+    return tuple(peers)
--- /dev/null
+++ b/src/heatherpier/quotas/_buckets.py
@@ -0,0 +1,247 @@
+"""The rights that an allocator creates, and their fair sharing."""
+
+import math
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+
+from heatherpier.quotas._allocators import ALLOCATORS, RIGHT_VALIDITY_S
+
+# Bounds of the least burst of an organisation in rights, over all allocators. From 5 on,
+# each allocator can hold a whole right, so that none has to be assembled from parts that
+# expire meanwhile. A quarter of a second of the rate lets an organisation with a small
+# burst use its rate with few requests. All windows of 5 s stay within the requirement,
+# which allows 20 operations and a tenth beyond rate and burst.
+LEAST_BURST = 5.0
+MAX_LEAST_BURST = 15.0
+LEAST_BURST_S = 0.25
+# Period over which rights are shared fairly, in seconds.
+SHARE_PERIOD_S = 1.0
+# Time for which a computed fair level is used. With many proxies its computation would
+# otherwise take longer than the rest of an answer.
+LEVEL_REUSE_S = 0.05
+# Keeps sums of fractions from missing a whole right by a rounding error.
+EPSILON = 1e-9
+
+
+@dataclass(frozen=True, slots=True)
+class Rate:
+    """Rate limit of an organisation.
+
+    Attributes:
+        per_s: Rights created per second by all allocators.
+        burst: Operations that may run at once beyond the rate.
+    """
+
+    per_s: float
+    burst: float
+
+    @property
+    def stock(self) -> float:
+        """Maximum number of rights that all allocators together hold.
+
+        Rights given earlier stay valid for `RIGHT_VALIDITY_S`, so that time of the rate
+        is part of what can run at once.
+        """
+        least = min(max(self.per_s * LEAST_BURST_S, LEAST_BURST), MAX_LEAST_BURST)
+        return max(self.burst - self.per_s * RIGHT_VALIDITY_S, least)
+
+    def max_operations(self, window_s: float) -> float:
+        """Returns the maximum number of operations in any window of this length."""
+        validity = self.per_s * RIGHT_VALIDITY_S
+        return self.per_s * window_s + max(self.burst, validity + self.stock)
+
+
+@dataclass(frozen=True, slots=True)
+class Gift:
+    """Rights that an allocator gives.
+
+    Attributes:
+        amount: Number of rights.
+        retry_s: Mean time in seconds between two rights that the asker can expect; 0
+            if it got all that it asked for.
+    """
+
+    amount: float
+    retry_s: float = 0.0
+
+
+def fair_level(demands: Mapping[str, float], capacity: float) -> float:
+    """Returns the most that one asker gets if ``capacity`` is shared max-min fairly.
+
+    Args:
+        demands: Demand by asker.
+        capacity: What is shared.
+
+    Returns:
+        The level; infinite if all demands can be met.
+    """
+    left = capacity
+    ordered = sorted(demands.values())
+    for index, demand in enumerate(ordered):
+        share = left / (len(ordered) - index)
+        if demand > share:
+            return share
+        left -= demand
+    return math.inf
+
+
+@dataclass(slots=True)
+class _Period:
+    """Asks and gifts of one period.
+
+    Attributes:
+        began: Time in seconds.
+        demands: Rights asked for, by asker.
+        given: Rights given, by asker.
+    """
+
+    began: float
+    demands: dict[str, float] = field(default_factory=dict)
+    given: dict[str, float] = field(default_factory=dict)
+
+
+class Bucket:
+    """One allocator's rights of one organisation.
+
+    It gives whole rights only.
+
+    Args:
+        rate: Rate limit of the organisation.
+        empty_at: Time in seconds at which the bucket was empty.
+    """
+
+    def __init__(self, rate: Rate, *, empty_at: float) -> None:
+        self._rate = rate
+        self._level = 0.0
+        self._filled_at = empty_at
+        self._period = _Period(began=empty_at)
+        self._previous: dict[str, float] = {}
+        self._fair = math.inf
+        self._fair_until = -math.inf
+        # What the askers together are still entitled to in the present period.
+        self._reserved = 0.0
+
+    def level(self, now: float) -> float:
+        """Returns how many rights the bucket holds."""
+        self._fill(now)
+        return self._level
+
+    def set_rate(self, rate: Rate, now: float) -> None:
+        """Changes the rate limit; the bucket is cut to what the new one allows."""
+        if rate == self._rate:
+            return
+        self._fill(now)
+        self._rate = rate
+        self._level = min(self._level, rate.stock / ALLOCATORS)
+        self._fair_until = -math.inf
+
+    def give(self, asker: str, amount: float, now: float) -> Gift:
+        """Gives rights to a proxy.
+
+        A proxy gets at least what the others that asked within the last second are not
+        entitled to.
+
+        Args:
+            asker: Name of the proxy.
+            amount: Number of rights that it asks for.
+            now: Time in seconds.
+        """
+        self._fill(now)
+        self._enter_period(now)
+        period = self._period
+        period.demands[asker] = period.demands.get(asker, 0.0) + amount
+        fair = self._fair_level(now)
+        allowed = min(amount, self._level, self._allowance(asker, fair))
+        given = float(max(math.floor(allowed + EPSILON), 0))
+        self._level = max(self._level - given, 0.0)
+        period.given[asker] = period.given.get(asker, 0.0) + given
+        if given >= amount:
+            return Gift(given)
+        per_s = self._rate.per_s / ALLOCATORS
+        share = min(fair / SHARE_PERIOD_S, per_s)
+        return Gift(given, retry_s=1 / share if share > 0 else math.inf)
+
+    def _fill(self, now: float) -> None:
+        elapsed_s = max(now - self._filled_at, 0.0)
+        self._filled_at = max(now, self._filled_at)
+        stock = self._rate.stock / ALLOCATORS
+        created = self._rate.per_s / ALLOCATORS * elapsed_s
+        self._level = min(self._level + created, stock)
+
+    def _enter_period(self, now: float) -> None:
+        period = self._period
+        if now < period.began + SHARE_PERIOD_S:
+            return
+        recent = now < period.began + 2 * SHARE_PERIOD_S
+        self._previous = period.demands if recent else {}
+        self._period = _Period(began=now)
+        self._fair_until = -math.inf
+
+    def _fair_level(self, now: float) -> float:
+        """Returns how many rights one asker may have in the present period."""
+        if now < self._fair_until:
+            return self._fair
+        demands = dict(self._previous)
+        for asker, demand in self._period.demands.items():
+            demands[asker] = max(demand, demands.get(asker, 0.0))
+        capacity = self._rate.per_s / ALLOCATORS * SHARE_PERIOD_S
+        self._fair = fair_level(demands, max(capacity, self._level))
+        self._fair_until = now + LEVEL_REUSE_S
+        if self._fair != math.inf:
+            share = math.floor(self._fair)
+            self._reserved = sum(self._entitlement(name, share) for name in demands)
+        return self._fair
+
+    def _allowance(self, asker: str, fair: float) -> float:
+        if fair == math.inf:
+            return math.inf
+        given = self._period.given.get(asker, 0.0)
+        # A share of less than a right is not set aside: the first that ask get one.
+        reserved = self._reserved - self._entitlement(asker, math.floor(fair))
+        return max(math.ceil(fair) - given, self._level - max(reserved, 0.0))
+
+    def _entitlement(self, asker: str, share: float) -> float:
+        period = self._period
+        demand = max(period.demands.get(asker, 0.0), self._previous.get(asker, 0.0))
+        return max(min(share, demand) - period.given.get(asker, 0.0), 0.0)
+
+
+class Buckets:
+    """One allocator's rights of all organisations.
+
+    Args:
+        rate_of: Returns the rate limit of an organisation: None if it has none, or if
+            it is unknown.
+    """
+
+    def __init__(self, rate_of: Callable[[str], Rate | None]) -> None:
+        self._rate_of = rate_of
+        self._buckets: dict[str, Bucket] = {}
+        self._empty_at = 0.0
+
+    def restart(self, now: float) -> None:
+        """Empties all buckets: this proxy begins to be an allocator.
+
+        Another one may have given all its rights just before.
+        """
+        self._buckets.clear()
+        self._empty_at = now
+
+    def give(self, organisation: str, asker: str, amount: float, now: float) -> Gift:
+        """Gives rights of an organisation to a proxy.
+
+        Args:
+            organisation: Name of the organisation.
+            asker: Name of the proxy.
+            amount: Number of rights that it asks for.
+            now: Time in seconds.
+        """
+        rate = self._rate_of(organisation)
+        if rate is None:
+            self._buckets.pop(organisation, None)
+            return Gift(0.0, retry_s=SHARE_PERIOD_S)
+        bucket = self._buckets.get(organisation)
+        if bucket is None:
+            bucket = self._buckets[organisation] = Bucket(rate, empty_at=self._empty_at)
+        bucket.set_rate(rate, now)
+        return bucket.give(asker, amount, now)
--- /dev/null
+++ b/src/heatherpier/quotas/_fleet_rows.py
@@ -0,0 +1,143 @@
+"""What the members' table shows of this proxy's standing in the fleet."""
+
+from heatherpier.fleet import Peer
+from heatherpier.leases import MEMBER_PREFIX, FleetView
+from heatherpier.quotas._allocators import (
+    MAX_VIEW_AGE_S,
+    REMOVED_RETENTION_S,
+    Standing,
+    first_allocators,
+)
+from heatherpier.tables import Row, number_of
+from heatherpier.timers import Timers
+
+# Rows that say which version of a member's row has stood for `MAX_VIEW_AGE_S`.
+STOOD_PREFIX = "stood/"
+# Age of the copy up to which a restore of the store leaves the standing of this
+# proxy's row as it is. Up to this age, those that saw a removal which the restore undid
+# count the row as present for as long as their copies may be used.
+MAX_AGE_AT_RESTORE_S = REMOVED_RETENTION_S - MAX_VIEW_AGE_S
+
+
+class FleetRows:
+    """Follows members, their removals and this proxy's own row.
+
+    It has to be created before the first read of the table. All times are in seconds
+    by `Timers.elapsed`.
+
+    Args:
+        me: This proxy.
+        view: Members of the fleet.
+        timers: Timer service.
+    """
+
+    def __init__(self, me: Peer, *, view: FleetView, timers: Timers) -> None:
+        self._me = me
+        self._view = view
+        self._timers = timers
+        self._began = timers.elapsed()
+        # Time of the removal of each recently removed member.
+        self._removed_at: dict[str, float] = {}
+        # Since when all removals are known; None until the first read.
+        self._followed_since: float | None = None
+        self._own_version = 0
+        self._own_since = float("inf")
+        self._restored_at = float("-inf")
+        self._first: tuple[str, ...] | None = None
+        view.copy.subscribe(self._apply)
+        view.copy.subscribe_to_whole_reads(self._note_whole_read)
+        view.copy.subscribe_to_epochs(self._note_restore)
+
+    def standing(self) -> Standing:
+        """Returns what this proxy knows of the fleet now."""
+        now = self._timers.elapsed()
+        view_age_s = self._view.copy.age_s()
+        since = self._followed_since
+        if since is None:
+            # The first rows were changes, and no whole read has come since.
+            since = self._view.copy.followed_since
+        return Standing(
+            view_age_s=view_age_s,
+            row_stood_s=self._row_stood_s(now - view_age_s),
+            followed_s=now - since,
+            running_s=now - self._began,
+        )
+
+    def _row_stood_s(self, as_of: float) -> float:
+        """Returns for how long the own row had surely stood when the copy was complete.
+
+        A row that an earlier incarnation of this proxy has seen stand for long enough
+        counts as old from the first read on.
+        """
+        record = self._view.members.get(self._me.name)
+        if record is None or record.peer != self._me:
+            return float("-inf")
+        since = float("-inf") if self.is_proven() else self._own_since
+        return as_of - max(since, self._restored_at)
+
+    def is_proven(self) -> bool:
+        """Returns whether a row says that this proxy's row has stood long enough."""
+        proof = self._view.copy.get(STOOD_PREFIX + self._me.name)
+        if proof is None or proof.body is None or not self._own_version:
+            return False
+        return proof.body == str(number_of(self._own_version)).encode()
+
+    def proof_row(self) -> tuple[str, bytes, int]:
+        """Returns key, content and expected version of the row for `is_proven`."""
+        key = STOOD_PREFIX + self._me.name
+        known = self._view.copy.get(key)
+        body = str(number_of(self._own_version)).encode()
+        return key, body, 0 if known is None else known.version
+
+    def first(self) -> tuple[str, ...]:
+        """Returns the first members, counting recently removed ones as present."""
+        now = self._timers.elapsed()
+        expired = [
+            name
+            for name, at in self._removed_at.items()
+            if now - at > REMOVED_RETENTION_S
+        ]
+        for name in expired:
+            del self._removed_at[name]
+        if self._first is None or expired:
+            names = self._view.members.keys() | self._removed_at.keys()
+            self._first = first_allocators(names)
+        return self._first
+
+    def members(self) -> dict[str, Peer]:
+        """Returns the addresses of the first members that are present."""
+        members = self._view.members
+        return {name: members[name].peer for name in self.first() if name in members}
+
+    def _apply(self, row: Row) -> None:
+        if not row.key.startswith(MEMBER_PREFIX):
+            return
+        self._first = None
+        name = row.key.removeprefix(MEMBER_PREFIX)
+        if row.body is None:
+            # Also a member that joined and was removed unseen, which may not know yet
+            # that it was removed.
+            self._removed_at[name] = self._timers.elapsed()
+        if name == self._me.name:
+            self._apply_own(row)
+
+    def _apply_own(self, row: Row) -> None:
+        if row.body is None:
+            self._own_version, self._own_since = 0, float("inf")
+            return
+        known = self._own_version
+        self._own_version = row.version
+        # After a restore of the store the same row has a version of a later epoch.
+        if not known or number_of(known) != number_of(row.version):
+            self._own_since = self._timers.elapsed()
+
+    def _note_whole_read(self, age_s: float) -> None:
+        if age_s <= MAX_VIEW_AGE_S and self._followed_since is None:
+            self._followed_since = self._view.copy.followed_since
+        if age_s > MAX_VIEW_AGE_S:
+            # A member may have been an allocator unseen and not know of its removal.
+            self._followed_since = self._timers.elapsed()
+
+    def _note_restore(self) -> None:
+        if self._view.copy.age_s() > MAX_AGE_AT_RESTORE_S:
+            self._restored_at = self._timers.elapsed()
--- a/src/heatherpier/serving/_context.py
+++ b/src/heatherpier/serving/_context.py
@@ -1,13 +1,14 @@
 """State that all sessions of a proxy share."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from heatherpier.discovery import InstanceRegistry
 from heatherpier.identities import CallerDirectory
 from heatherpier.leases import InFlightWork, Lease, NoLease, PrimaryLeases
 from heatherpier.pooling import InstancePools
 from heatherpier.positions import LogPosition
+from heatherpier.quotas import OpenGate, QuotaGate
 from heatherpier.routing import (
     ActiveRoutes,
     AnyCommit,
@@ -42,6 +43,7 @@
         metrics: Counters and histograms.
         configuration_recent: Returns whether the routing table was confirmed
             recently enough to answer that a database does not exist.
+        quotas: Admits operations within the rate limits of organisations.
     """
 
     timers: Timers
@@ -57,6 +59,7 @@
     read_limiters: dict[str, ReadRateLimiter]
     metrics: ServingMetrics
     configuration_recent: Callable[[], bool]
+    quotas: QuotaGate | OpenGate = field(default_factory=OpenGate)
 
     def positions_of(self, service: str) -> PositionHistory:
         """Returns the position samples of a service's primary."""
--- a/src/heatherpier/serving/_session.py
+++ b/src/heatherpier/serving/_session.py
@@ -11,6 +11,7 @@
     shape_name,
 )
 from heatherpier.positions import LogPosition
+from heatherpier.quotas import Refusal, Right
 from heatherpier.routing import Route
 from heatherpier.serving._context import ServingContext
 from heatherpier.serving._pending_statement import PendingStatement
@@ -38,6 +39,10 @@
 from heatherpier.telemetry import get_logger
 
 log = get_logger("serving")
+# Fraction of the latency objective for which an operation waits for a right, and the
+# longest such wait in seconds.
+RIGHT_WAIT_FRACTION = 0.25
+MAX_RIGHT_WAIT_S = 0.25
 
 
 def find_route(context: ServingContext, database: str) -> Route | Failed:
@@ -77,6 +82,18 @@
     )
 
 
+def _refused_reply(refusal: Refusal) -> Reply:
+    return failed_reply(
+        Code.OVERLOADED,
+        "rate limit of the organisation",
+        retry_after_ms=max(round(refusal.retry_s * 1000), 1),
+    )
+
+
+def _surely_not_run(reply: Reply) -> bool:
+    return isinstance(reply.outcome, Failed) and reply.outcome.not_run
+
+
 class CallerSession:
     """One session of one caller.
 
@@ -97,6 +114,8 @@
         self._values: dict[str, str] = {}
         self._prepared: dict[str, PrepareShape] = {}
         self._transaction: Transaction | None = None
+        # The right of the open transaction, once one of its statements was run.
+        self._right: Right | None = None
         self._own_commit: LogPosition | None = None
         context.metrics.sessions.inc()
 
@@ -181,6 +200,7 @@
             read_only=read_only,
             organisation=organisation,
         )
+        self._right = None
         return self._done_reply()
 
     def _roll_back(self) -> Reply:
@@ -206,6 +226,9 @@
             writes=transaction.wrote,
             organisation=transaction.organisation,
         )
+        refusal = await self._admit_transaction(transaction, statement)
+        if refusal is not None:
+            return refusal
         reply = await transaction.commit(statement)
         self._transaction = None
         if transaction.wrote:
@@ -258,7 +281,12 @@
         )
         if transaction is not None:
             return await self._run_in_transaction(transaction, statement)
+        right = await self._take_right(statement)
+        if isinstance(right, Refusal):
+            return _refused_reply(right)
         reply = await self._runner.run(statement)
+        if _surely_not_run(reply):
+            right.put_back()
         if writes:
             self._note_commit(reply)
         return reply
@@ -266,11 +294,49 @@
     async def _run_in_transaction(
         self, transaction: Transaction, statement: PendingStatement
     ) -> Reply:
+        is_first = self._right is None
+        refusal = await self._admit_transaction(transaction, statement)
+        if refusal is not None:
+            return refusal
         reply = await transaction.run(statement)
         if transaction.ended:
             self._transaction = None
+            if is_first and self._right is not None and _surely_not_run(reply):
+                self._right.put_back()
         return reply
 
+    async def _take_right(self, statement: PendingStatement) -> Right | Refusal:
+        wait_s = min(
+            statement.route.objective_s * RIGHT_WAIT_FRACTION, MAX_RIGHT_WAIT_S
+        )
+        return await self._context.quotas.admit(
+            statement.organisation,
+            deadline=min(self._context.timers.now() + wait_s, statement.deadline),
+            statement_id=statement.id,
+        )
+
+    async def _admit_transaction(
+        self, transaction: Transaction, statement: PendingStatement
+    ) -> Reply | None:
+        """Takes the right of a transaction before its first statement is run.
+
+        Returns:
+            None if the statement may run, else the answer; the transaction has ended.
+        """
+        if self._right is not None:
+            return None
+        right = await self._take_right(statement)
+        if isinstance(right, Refusal):
+            transaction.roll_back()
+            self._transaction = None
+            return _refused_reply(right)
+        if transaction.ended:
+            # It was rolled back during the wait.
+            right.put_back()
+            return self._rolled_back_reply()
+        self._right = right
+        return None
+
     def _rolled_back_reply(self) -> Reply:
         self._transaction = None
         return failed_reply(
--- a/src/heatherpier/tables/_copy.py
+++ b/src/heatherpier/tables/_copy.py
@@ -14,6 +14,7 @@
 
 RowListener = Callable[[Row], None]
 EpochListener = Callable[[], None]
+ReadListener = Callable[[float], None]
 
 
 class TableCopy:
@@ -52,6 +53,7 @@
         self._complete_as_of: float | None = None
         self._listeners: list[RowListener] = []
         self._epoch_listeners: list[EpochListener] = []
+        self._read_listeners: list[ReadListener] = []
 
     @property
     def epoch(self) -> int:
@@ -65,6 +67,14 @@
         """
         self._epoch_listeners.append(listener)
 
+    def subscribe_to_whole_reads(self, listener: ReadListener) -> None:
+        """Calls ``listener`` before a whole read replaces the rows.
+
+        It is given the age of the rows in seconds, which is infinite for the first
+        read. Rows that were written and deleted within that time remain unseen.
+        """
+        self._read_listeners.append(listener)
+
     def subscribe(self, listener: RowListener) -> None:
         """Calls ``listener`` with each changed row; a deleted row has no body."""
         self._listeners.append(listener)
@@ -101,6 +111,8 @@
         """Replaces the copy by all rows of the table, unless the copy is newer."""
         if changes.version < self.version:
             return
+        for listener in self._read_listeners:
+            listener(self.age_s())
         self._enter_epoch(changes)
         present = {row.key for row in changes.rows}
         for key in self._rows.keys() - present:
