--- a/src/heatherpier/quotas/_buckets.py
+++ b/src/heatherpier/quotas/_buckets.py
@@ -6,14 +6,12 @@
 
 from heatherpier.quotas._allocators import ALLOCATORS, RIGHT_VALIDITY_S
 
-# Bounds of the least burst of an organisation in rights, over all allocators. From 5 on,
-# each allocator can hold a whole right, so that none has to be assembled from parts that
-# expire meanwhile. A quarter of a second of the rate lets an organisation with a small
-# burst use its rate with few requests. All windows of 5 s stay within the requirement,
-# which allows 20 operations and a tenth beyond rate and burst.
-LEAST_BURST = 5.0
-MAX_LEAST_BURST = 15.0
-LEAST_BURST_S = 0.25
+# Rights of each organisation that all allocators together hold beyond its burst. Each
+# can then hold two whole rights, so that none has to be assembled from parts that expire
+# meanwhile, and an organisation with a small burst can use its rate in spite of random
+# arrivals. It is half of the 20 operations that the requirement allows beyond rate and
+# burst; the other half is for operations that wait between their right and their run.
+SPARE = 10.0
 # Period over which rights are shared fairly, in seconds.
 SHARE_PERIOD_S = 1.0
 # Time for which a computed fair level is used. With many proxies its computation would
@@ -42,13 +40,12 @@
         Rights given earlier stay valid for `RIGHT_VALIDITY_S`, so that time of the rate
         is part of what can run at once.
         """
-        least = min(max(self.per_s * LEAST_BURST_S, LEAST_BURST), MAX_LEAST_BURST)
-        return max(self.burst - self.per_s * RIGHT_VALIDITY_S, least)
+        return max(self.burst - self.per_s * RIGHT_VALIDITY_S, 0.0) + SPARE
 
     def max_operations(self, window_s: float) -> float:
         """Returns the maximum number of operations in any window of this length."""
         validity = self.per_s * RIGHT_VALIDITY_S
-        return self.per_s * window_s + max(self.burst, validity + self.stock)
+        return self.per_s * window_s + max(self.burst, validity) + SPARE
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/heatherpier/quotas/_demand.py
+++ b/src/heatherpier/quotas/_demand.py
@@ -4,6 +4,8 @@
 from collections.abc import Collection, Sequence
 from dataclasses import dataclass
 
+from heatherpier.quotas._allocators import RIGHT_VALIDITY_S
+
 # Time constant of the moving average of arrivals, in seconds.
 AVERAGE_S = 0.5
 # Time for whose expected arrivals rights are asked for ahead.
@@ -11,11 +13,14 @@
 # More rights are asked for when those held last for less than this time. It covers the
 # way to a distant allocator and back.
 LOW_S = 0.06
+# Standard deviations by which the rights asked for ahead stay below the arrivals that
+# are expected within their validity. What expires unspent is lost to the organisation.
+SPREAD = 1.5
 # An allocator that gave less than it was asked for is not asked again before a third of
 # the time in which it creates one right for this proxy, within these bounds in seconds.
 # A shorter pause costs messages; a longer one leaves rights unused in full buckets.
 PAUSE_FRACTION = 1 / 3
-MIN_PAUSE_S = 0.1
+MIN_PAUSE_S = 0.06
 MAX_PAUSE_S = 1.0
 # Time after which what is known of an allocator's supply is out of date.
 SUPPLY_KNOWN_S = 2.0
@@ -174,4 +179,6 @@
     """
     if held > per_s * LOW_S:
         return 0.0
-    return max(float(math.floor(per_s * (AHEAD_S + LOW_S) - held)), 0.0)
+    arriving = per_s * RIGHT_VALIDITY_S
+    certain = arriving - SPREAD * math.sqrt(arriving)
+    return float(max(math.floor(min(per_s * (AHEAD_S + LOW_S), certain) - held), 0))
