Balancing: reads are spread by load information that is old

Cause: each proxy ranked instances by its own pools, distance and name. Many proxies choose alike, so the first name is overrun; with reports, the least loaded one by the last report is overrun until the next report.

Change: the package balancing keeps reports, own statements in flight and the time that answers take beyond the usual. ReplicaSelector uses it where an even share is below one connection or callers have keys; elsewhere the ranking is as before. Failing, missing and leaving instances rank last as before.

--- a/src/heatherpier/_proxy_engine.py
+++ b/src/heatherpier/_proxy_engine.py
@@ -14,6 +14,7 @@
 
 from heatherpier._engine_ports import Ports, StoreLayout, UnreadableRowError, VmLocation
 from heatherpier._supervision import Run, run_supervised
+from heatherpier.balancing import BalancingMetrics, LoadEstimates
 from heatherpier.discovery import InstanceRecord, InstanceRegistry
 from heatherpier.identities import CallerDirectory
 from heatherpier.leases import (
@@ -40,6 +41,7 @@
     SampleExchange,
 )
 from heatherpier.pooling import (
+    CONTROL_CONNECTIONS,
     ConnectionShares,
     InstancePools,
     PoolLimits,
@@ -48,6 +50,7 @@
 from heatherpier.serving import (
     CallerSession,
     InstanceHealth,
+    ReadBalancer,
     ReplicaSelector,
     Runner,
     ServingContext,
@@ -105,6 +108,7 @@
     Attributes:
         context: State that all sessions share.
         view: Members and leaders of the fleet.
+        load_estimates: What is known of the load of the instances.
     """
 
     def __init__(
@@ -150,12 +154,22 @@
         pools = InstancePools(
             connector=ports.connector, timers=timers, limits=self._pool_limits
         )
+        self.load_estimates = LoadEstimates()
+        balancer = ReadBalancer(
+            estimates=self.load_estimates,
+            active=self._balances_reads,
+            distance=location.distance,
+            timers=timers,
+            rng=rng,
+            metrics=BalancingMetrics(metrics),
+        )
         replica_selector = ReplicaSelector(
             registry=self._registry,
             pools=pools,
             health=self._health,
             timers=timers,
             distance=location.distance,
+            balancer=balancer,
         )
         self.context = ServingContext(
             timers=timers,
@@ -169,6 +183,7 @@
             in_flight=InFlightWork(timers=timers),
             health=self._health,
             replica_selector=replica_selector,
+            balancer=balancer,
             positions={},
             read_limiters={},
             metrics=ServingMetrics(metrics),
@@ -459,6 +474,7 @@
             self.context.pools.drop(name)
             self._health.forget(name)
             self.context.replica_selector.forget(name)
+            self.context.balancer.forget(name)
             self.context.read_limiters.pop(name, None)
 
     async def _warm_connections(self) -> None:
@@ -489,6 +505,20 @@
         except ConnectError as exc:
             self._note_failure(record.name, str(exc))
 
+    def _balances_reads(self) -> bool:
+        """Returns whether an even share is below one connection, or callers have keys.
+
+        Elsewhere each proxy has connections of its own to every instance.
+        """
+        table = self._routes.table
+        if table.organisations is not None:
+            return True
+        members = len(self.view.members)
+        return any(
+            spec.max_connections - CONTROL_CONNECTIONS < members
+            for spec in table.services.values()
+        )
+
     def _pool_limits(self, service: str) -> PoolLimits:
         """Returns how many connections this proxy may open to an instance."""
         spec = self._routes.table.services.get(service)
--- a/src/heatherpier/pooling/__init__.py
+++ b/src/heatherpier/pooling/__init__.py
@@ -16,9 +16,10 @@
 from heatherpier.pooling._interface import InstanceConnector, InstanceLink
 from heatherpier.pooling._pool import ConnectionPool, PoolLimits
 from heatherpier.pooling._pools import InstancePools
-from heatherpier.pooling._shares import ConnectionShares
+from heatherpier.pooling._shares import CONTROL_CONNECTIONS, ConnectionShares
 
 __all__ = [
+    "CONTROL_CONNECTIONS",
     "ApplyValue",
     "FetchStatus",
     "Call",
--- a/src/heatherpier/serving/__init__.py
+++ b/src/heatherpier/serving/__init__.py
@@ -4,6 +4,7 @@
 from heatherpier.serving._health import InstanceHealth
 from heatherpier.serving._metrics import ServingMetrics
 from heatherpier.serving._positions import PositionHistory, PositionSample
+from heatherpier.serving._read_balancer import ReadBalancer
 from heatherpier.serving._replica_selector import ReplicaSelector
 from heatherpier.serving._runner import Runner
 from heatherpier.serving._session import CallerSession, find_route, identify_caller
@@ -17,6 +18,7 @@
     "PositionHistory",
     "Runner",
     "PositionSample",
+    "ReadBalancer",
     "ServingMetrics",
     "SharedPositions",
     "find_route",
--- a/src/heatherpier/serving/_attempts.py
+++ b/src/heatherpier/serving/_attempts.py
@@ -252,7 +252,12 @@
             statement.with_min_position(target.position),
         ]
         result = await self._exchange(
-            conn, target, calls, until=until, grace_s=LATE_ANSWER_GRACE_S
+            conn,
+            target,
+            calls,
+            until=until,
+            grace_s=LATE_ANSWER_GRACE_S,
+            kind=statement.kind,
         )
         if isinstance(result, Reply) and _lacks_prepared_statement(result):
             # The instance no longer has the prepared statement, so nothing ran.
@@ -262,7 +267,12 @@
                 statement.with_min_position(target.position),
             ]
             result = await self._exchange(
-                conn, target, calls, until=until, grace_s=LATE_ANSWER_GRACE_S
+                conn,
+                target,
+                calls,
+                until=until,
+                grace_s=LATE_ANSWER_GRACE_S,
+                kind=statement.kind,
             )
         return result
 
@@ -284,7 +294,20 @@
         until: float,
         in_transaction: bool = False,
         grace_s: float = 0.0,
+        kind: str | None = None,
     ) -> AttemptResult:
+        """Sends calls and returns the result of the last one.
+
+        Args:
+            conn: The connection.
+            target: The instance.
+            calls: The calls.
+            until: Monotonic time in seconds by which the answer is expected.
+            in_transaction: Whether a transaction is open on the connection.
+            grace_s: Time in seconds after ``until`` for which the answer is still read.
+            kind: Kind of statement as which the time of the answer is recorded, or
+                None if it is not.
+        """
         timers = self._context.timers
         sent_at = timers.now()
         if not self._may_send(target, in_transaction=in_transaction):
@@ -293,6 +316,7 @@
             return NotSent(reason=f"less than {MIN_EXECUTION_S} s left for an answer")
         taken_at = timers.elapsed()
         self._context.health.note_sent(target.name, sent_at)
+        self._context.balancer.note_sent(target.name, sent_at)
         try:
             replies = await conn.run(calls, timeout_s=until - sent_at + grace_s)
         except ConnectError as exc:
@@ -302,6 +326,7 @@
             return AnswerLost(reason=str(exc))
         finally:
             self._context.health.note_settled(target.name, sent_at)
+            self._context.balancer.note_settled(target.name, sent_at)
         for reply in replies[:-1]:
             if isinstance(reply.outcome, Failed):
                 conn.abort()
@@ -310,6 +335,10 @@
                 )
         reply = replies[-1]
         self._record_reply(target, reply, taken_at=taken_at)
+        if kind is not None:
+            self._context.balancer.note_outcome(
+                target.record, reply.outcome, kind=kind, sent_at=sent_at
+            )
         return reply
 
     def _may_send(self, target: Target, *, in_transaction: bool) -> bool:
--- a/src/heatherpier/serving/_context.py
+++ b/src/heatherpier/serving/_context.py
@@ -18,6 +18,7 @@
 from heatherpier.serving._health import InstanceHealth
 from heatherpier.serving._metrics import ServingMetrics
 from heatherpier.serving._positions import PositionHistory, PositionSample
+from heatherpier.serving._read_balancer import ReadBalancer
 from heatherpier.serving._read_rate import ReadRateLimiter
 from heatherpier.serving._replica_selector import ReplicaSelector
 from heatherpier.timers import Timers
@@ -37,6 +38,7 @@
         in_flight: Statements and transactions in progress on primaries.
         health: Health of the instances, by their answers.
         replica_selector: Ranks the instances for a read.
+        balancer: Records what statements show of the load of instances.
         positions: Position samples of the primaries, by service.
         read_limiters: Rate limiters of reads on primaries, by instance.
         metrics: Counters and histograms.
@@ -53,6 +55,7 @@
     in_flight: InFlightWork
     health: InstanceHealth
     replica_selector: ReplicaSelector
+    balancer: ReadBalancer
     positions: dict[str, PositionHistory]
     read_limiters: dict[str, ReadRateLimiter]
     metrics: ServingMetrics
--- a/src/heatherpier/serving/_pending_statement.py
+++ b/src/heatherpier/serving/_pending_statement.py
@@ -43,6 +43,11 @@
         """Id that the caller gave the statement."""
         return self.call.id
 
+    @property
+    def kind(self) -> str:
+        """Kind of statement; statements of one kind take similar times."""
+        return f"{self.route.database} {'write' if self.writes else 'read'}"
+
     def queue_until(self, now: float) -> float:
         """Returns until when the statement queues for a connection.
 
--- a/src/heatherpier/serving/_replica_selector.py
+++ b/src/heatherpier/serving/_replica_selector.py
@@ -8,12 +8,16 @@
 from heatherpier.positions import LogPosition
 from heatherpier.serving._health import InstanceHealth
 from heatherpier.serving._positions import PositionSample
+from heatherpier.serving._read_balancer import ReadBalancer, ReadOption
 from heatherpier.timers import Timers
 
 # Cost per step of distance: a read prefers an instance that is one step nearer if the
 # expected wait there is at most this much longer. Traffic between regions is
 # expensive, and this wait is a tenth of the tightest latency objective.
 DISTANCE_COST_S = 0.04
+# The same where reads are balanced. A round trip between data centres of a region takes
+# at most 2.8 ms, so the load decides there; to other regions nothing changes.
+BALANCED_DISTANCE_COSTS_S = (0.0, 0.005, 2 * DISTANCE_COST_S)
 # Cost of a primary, which keeps its slots free for statements that only it can serve.
 PRIMARY_COST_S = 0.005
 # Cost of an instance that fails or is no longer listed; it ranks after healthy ones.
@@ -61,6 +65,7 @@
         timers: Timer service.
         distance: Returns the distance of a data centre: 0 for that of this proxy,
             1 for others of its region, 2 for other regions.
+        balancer: Orders the healthy instances where reads are balanced.
     """
 
     def __init__(
@@ -71,12 +76,14 @@
         health: InstanceHealth,
         timers: Timers,
         distance: Callable[[str], int],
+        balancer: ReadBalancer,
     ) -> None:
         self._registry = registry
         self._pools = pools
         self._health = health
         self._timers = timers
         self._distance = distance
+        self._balancer = balancer
         self._estimates: dict[str, _LagEstimate] = {}
 
     def note_position(self, name: str, position: LogPosition | None) -> None:
@@ -116,25 +123,61 @@
             min_position: Position sample that a replica must include. With None only
                 the primary may serve the read.
         """
-        costs = [
-            (self._cost(record, primary=primary), record.name, record)
+        offered = [
+            record
             for record in self._registry.of_service(service)
             if record.name == primary or self._should_offer(record.name, min_position)
         ]
+        if not self._balancer.active:
+            return self._by_cost(offered, primary)
+        healthy = [record for record in offered if not self._penalty_s(record)]
+        others = [record for record in offered if self._penalty_s(record)]
+        return self._balanced(healthy, primary) + self._by_cost(others, primary)
+
+    def _by_cost(
+        self, records: list[InstanceRecord], primary: str | None
+    ) -> list[InstanceRecord]:
+        costs = [
+            (self._cost(record, primary=primary), record.name, record)
+            for record in records
+        ]
         return [record for _, _, record in sorted(costs, key=lambda cost: cost[:2])]
 
+    def _balanced(
+        self, records: list[InstanceRecord], primary: str | None
+    ) -> list[InstanceRecord]:
+        by_name = {record.name: record for record in records}
+        options = [
+            ReadOption(
+                name=record.name,
+                is_primary=record.name == primary,
+                pool_wait_s=self._pools.of(record).expected_wait_s(),
+                distance_cost_s=BALANCED_DISTANCE_COSTS_S[
+                    self._distance(record.instance.data_centre)
+                ],
+                role_cost_s=PRIMARY_COST_S if record.name == primary else 0.0,
+            )
+            for record in records
+        ]
+        return [by_name[name] for name in self._balancer.order(options)]
+
     def _cost(self, record: InstanceRecord, *, primary: str | None) -> float:
         cost_s = self._pools.of(record).expected_wait_s()
         cost_s += DISTANCE_COST_S * self._distance(record.instance.data_centre)
         if record.name == primary:
             cost_s += PRIMARY_COST_S
+        return cost_s + self._penalty_s(record)
+
+    def _penalty_s(self, record: InstanceRecord) -> float:
+        """Returns the cost of an instance that ranks after the healthy ones, else 0."""
+        penalty_s = 0.0
         if self._health.in_backoff(record.name) or self._registry.is_missing(
             record.name
         ):
-            cost_s += BACKOFF_COST_S
+            penalty_s += BACKOFF_COST_S
         if record.instance.leaving:
-            cost_s += LEAVING_COST_S
-        return cost_s
+            penalty_s += LEAVING_COST_S
+        return penalty_s
 
     def _should_offer(self, name: str, min_position: PositionSample | None) -> bool:
         """Returns whether a read with a minimum position goes to a replica.
