Bench: bench balancing prints how evenly statements are spread

Ruled out: figures from tests only, which bound them but don't show them. Change: `bench balancing` runs 26 and 144 choosers at five ages of the reports and prints the worst load over the mean, the p99 wait and the processor time of a choice. Tests of the command and of where balancing is active.

--- a/src/heatherpier/_cli.py
+++ b/src/heatherpier/_cli.py
@@ -16,6 +16,7 @@
   heatherpier bench reads [--deployment=NAME] [--proxies=N] [--seed=N]
   heatherpier bench overload [--proxies=N] [--seed=N]
   heatherpier bench failover
+  heatherpier bench balancing [--seed=N]
   heatherpier bench load [--deployment=NAME] [--proxies=N] [--rate=N] [--seconds=N]
                          [--seed=N]
   heatherpier bench faults [--seeds=N] [--seed=N]
--- a/src/heatherpier/bench/_commands.py
+++ b/src/heatherpier/bench/_commands.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 from typing import Any
 
+from heatherpier.bench._balancing_report import print_balancing
 from heatherpier.bench._control_cost import as_dict, measure_control_cost
 from heatherpier.bench._demo import Plan, RollingRestart, run_demo
 from heatherpier.bench._deployment import DEPLOYMENTS, Deployment
@@ -55,6 +56,11 @@
     return EXIT_OK
 
 
+def _run_balancing(args: Mapping[str, Any]) -> int:
+    print_balancing(seed=_seed(args))
+    return EXIT_OK
+
+
 def _run_failover(args: Mapping[str, Any]) -> int:
     print_failover()
     return EXIT_OK
@@ -161,6 +167,7 @@
 
 
 COMMANDS: Mapping[str, Callable[[Mapping[str, Any]], int]] = {
+    "balancing": _run_balancing,
     "control": _run_control,
     "cost": _run_cost,
     "demo": _run_demo,
--- a/src/heatherpier/serving/tests/test_balanced_reads.py
+++ b/src/heatherpier/serving/tests/test_balanced_reads.py
@@ -208,6 +208,21 @@
     assert ran["claims-2"]
 
 
+@pytest.mark.parametrize(
+    ("connections", "active"), [(22, False), (6, False), (5, True)]
+)
+async def test_balancing_is_active_where_a_share_is_below_one_connection(
+    timers, connections, active
+):
+    """Guards against a feature that starts, or stays off, by the wrong count."""
+    async with SimulatedDeployment(
+        timers=timers, proxies=4, connections=connections
+    ) as deployment:
+        engine = deployment.engines["proxy-0"]
+        assert len(engine.view.members) == 4
+        assert engine.context.balancer.active is active
+
+
 async def test_nothing_is_recorded_where_not_active(deployment, timers):
     """Guards against state that grows in deployments without balancing."""
     await ask(deployment.open("claims-exact"), "READ sample")
