Config check: findings and differences before a version takes effect

Cause: a configuration with a route to an unknown service, a key of two organisations or a burst below one operation is only noticed once it is in force.

Ruled out: checking the decoded routing table, in which entries that others replace are lost; importing the adapter outside of the platform's composition.

Change: `heatherpier config check NEW [--against=FILE] [--json]`. Package config_check with drafts that keep all entries, findings with stable codes and differences with keys only counted. Exit codes 0, 1, 2.

--- a/src/heatherpier/_cli.py
+++ b/src/heatherpier/_cli.py
@@ -4,6 +4,7 @@
   heatherpier proxy --settings=FILE
   heatherpier serve [--settings=FILE]
   heatherpier check DOCUMENT
+  heatherpier config check NEW [--against=FILE] [--json]
   heatherpier schema (settings | document)
   heatherpier status --admin=ADDRESS
   heatherpier submit DOCUMENT --settings=FILE --author=NAME --submission=ID
@@ -30,6 +31,8 @@
   --settings=FILE    JSON file with the settings of the process; for serve, the file
                      that the platform writes, by default the one that the variable
                      HEATHERPIER_SETTINGS names.
+  --against=FILE     Configuration in force, to show the differences from it.
+  --json             Print the report as JSON.
   --author=NAME      Who submits the document.
   --submission=ID    Id of your choice; submitting again with it is idempotent.
   --base=VERSION     Version that was edited; the one active if not given.
@@ -45,6 +48,7 @@
 
 Examples:
   heatherpier check examples/document.json
+  heatherpier config check new.json --against=current.json
   heatherpier proxy --settings=examples/proxy.json
   heatherpier serve --settings=/etc/heatherpier/local.yaml
   heatherpier schema document > document.schema.json
@@ -58,6 +62,7 @@
   0  done
   1  failed while running
   2  wrong arguments, settings or document
+For config check: 0 no findings, 1 findings, 2 unreadable.
 """
 
 import asyncio
@@ -116,6 +121,8 @@
     if args["version"]:
         print(__version__)
         return EXIT_OK
+    if args["config"]:
+        return _run_config_check(args)
     if args["check"]:
         document = load_document(Path(args["DOCUMENT"]))
         print(f"valid: {len(document.services)} services")
@@ -141,6 +148,20 @@
     return _run_proxy(Path(args["--settings"]))
 
 
+def _run_config_check(args: dict[str, str]) -> int:
+    # Imported here so that a MySQL proxy does not load the platform's packages.
+    from heatherpier._config_check_command import check_configuration
+
+    against = args["--against"]
+    result = check_configuration(
+        Path(args["NEW"]),
+        against=None if against is None else Path(against),
+        as_json=bool(args["--json"]),
+    )
+    print(result.text)
+    return result.code
+
+
 def _run_submit(args: dict[str, str]) -> int:
     cfg = load_settings(Path(args["--settings"]), environment=os.environ)
     base = args["--base"]
--- a/src/heatherpier/_platform_proxy.py
+++ b/src/heatherpier/_platform_proxy.py
@@ -18,6 +18,7 @@
 from heatherpier import __version__
 from heatherpier._engine_ports import Ports, StoreLayout, UnreadableRowError, VmLocation
 from heatherpier._proxy_engine import ProxyEngine
+from heatherpier.config_check import Draft
 from heatherpier.discovery import InstanceRecord
 from heatherpier.fleet import Codec, Peer, ZmqPeers
 from heatherpier.leases import LEASE_MESSAGES
@@ -34,6 +35,7 @@
     StoreClient,
     VmSettings,
     decode_config,
+    decode_draft,
     decode_instance,
 )
 from heatherpier.routing import RoutingTable
@@ -77,6 +79,18 @@
         raise UnreadableRowError(str(exc)) from exc
 
 
+def read_draft(body: bytes) -> Draft:
+    """Decodes a configuration as it is written, to check it.
+
+    Raises:
+        UnreadableRowError: It can't be decoded.
+    """
+    try:
+        return decode_draft(body)
+    except MalformedRecordError as exc:
+        raise UnreadableRowError(str(exc)) from exc
+
+
 def _read_instance(name: str, body: bytes) -> InstanceRecord:
     try:
         return decode_instance(name, body)
--- a/src/heatherpier/platform/_config.py
+++ b/src/heatherpier/platform/_config.py
@@ -24,7 +24,9 @@
 CONFIG_KEY = "config"
 
 
-class _Route(msgspec.Struct, kw_only=True, rename="camel"):
+class RouteBody(msgspec.Struct, kw_only=True, rename="camel"):
+    """A route as the platform writes it."""
+
     # Name of the database with which callers start a session; not a host.
     host: str
     # Consistency of the reads.
@@ -71,15 +73,29 @@
     tx_idle_ms: float = 10_000
 
 
-class _Config(msgspec.Struct, kw_only=True):
+class ConfigBody(msgspec.Struct, kw_only=True):
+    """The configuration as the platform writes it."""
+
     version: int
-    routes: list[_Route]
+    routes: list[RouteBody]
     services: list[_Service]
     limits: _Limits = msgspec.field(default_factory=_Limits)
     tenants: list[_Tenant] | None = None
 
 
-_decoder = msgspec.json.Decoder(_Config)
+_decoder = msgspec.json.Decoder(ConfigBody)
+
+
+def decode_body(body: bytes) -> ConfigBody:
+    """Decodes a configuration as it is written.
+
+    Raises:
+        MalformedRecordError: The configuration can't be decoded.
+    """
+    try:
+        return _decoder.decode(body)
+    except msgspec.MsgspecError as exc:
+        raise MalformedRecordError(f"configuration: {exc}") from exc
 
 
 def decode_config(body: bytes, *, identifies_callers: bool = False) -> RoutingTable:
@@ -93,10 +109,7 @@
     Raises:
         MalformedRecordError: The configuration can't be decoded.
     """
-    try:
-        cfg = _decoder.decode(body)
-    except msgspec.MsgspecError as exc:
-        raise MalformedRecordError(f"configuration: {exc}") from exc
+    cfg = decode_body(body)
     tenants = cfg.tenants
     if tenants is None and identifies_callers:
         tenants = []
@@ -119,12 +132,17 @@
         ),
         organisations=None
         if tenants is None
-        else {item.name: _make_organisation(item) for item in tenants},
+        else {item.name: make_organisation(item) for item in tenants},
         keys={key: item.name for item in tenants or () for key in item.api_keys},
     )
 
 
-def _make_organisation(item: _Tenant) -> Organisation:
+def make_organisation(item: _Tenant) -> Organisation:
+    """Returns an organisation.
+
+    Raises:
+        MalformedRecordError: The name is not a word.
+    """
     # The name is a word of the message that opens a connection to an instance.
     if not item.name or not item.name.isprintable() or " " in item.name:
         raise MalformedRecordError(f"tenant: expected a word, got {item.name!r:.60}")
@@ -136,7 +154,7 @@
     )
 
 
-def _make_route(item: _Route) -> Route:
+def _make_route(item: RouteBody) -> Route:
     return Route(
         database=item.host,
         service=item.service,
@@ -148,7 +166,7 @@
     )
 
 
-def _make_consistency(item: _Route) -> Consistency:
+def _make_consistency(item: RouteBody) -> Consistency:
     max_age_s = item.max_staleness_ms / MS_PER_S
     match item.kind:
         case "primary":
