Order of waiters: a fair queue by priority, slack and organisation, in the pools

Cause: waiters for a connection were served by priority and arrival. An organisation that sends much made all others of its priority wait, and a waiter was refused at its deadline although the queue showed long before that it had no chance. Ruled out: weights by value (the thresholds must come from objectives); one order for both cases (without organisations the present order has to stay as it is). Change: limits.FairQueue orders by priority, then by the least slack of a class's next entry, then by start-time fair queueing; it measures its rate, refuses what can't be served before its deadline, and leaves the last connection to a primary to short work. Pools use it while the routing table has organisations. Statements may then wait until their deadline, since the queue refuses what has no chance. The private queue of the gate is renamed, so that the package has one FairQueue. Idle connections, waiters and the bounds of a pool are modules of their own.

--- a/src/heatherpier/_proxy_engine.py
+++ b/src/heatherpier/_proxy_engine.py
@@ -41,8 +41,10 @@
 )
 from heatherpier.pooling import (
     ConnectionShares,
+    FairOrder,
     InstancePools,
     PoolLimits,
+    WaiterMetrics,
 )
 from heatherpier.routing import ActiveRoutes, RoutingTable
 from heatherpier.serving import (
@@ -148,7 +150,14 @@
         )
         self._shares = ConnectionShares(timers=timers)
         pools = InstancePools(
-            connector=ports.connector, timers=timers, limits=self._pool_limits
+            connector=ports.connector,
+            timers=timers,
+            limits=self._pool_limits,
+            order=FairOrder(
+                active=lambda: self._routes.table.organisations is not None,
+                rng=rng,
+                metrics=WaiterMetrics(metrics),
+            ),
         )
         replica_selector = ReplicaSelector(
             registry=self._registry,
--- a/src/heatherpier/limits/_gate.py
+++ b/src/heatherpier/limits/_gate.py
@@ -5,7 +5,7 @@
 from heatherpier.limits._concurrency import ConcurrencyLimit
 from heatherpier.limits._meters import Rate
 from heatherpier.limits._metrics import CONCURRENCY, REFUSED, WAITING
-from heatherpier.limits._queue import FairQueue, StatementKind, Waiter
+from heatherpier.limits._queue import RoundRobinQueue, StatementKind, Waiter
 from heatherpier.requests import OverloadedError, Priority
 from heatherpier.timers import Timers
 
@@ -40,7 +40,7 @@
         self._concurrency = ConcurrencyLimit(maximum=slots)
         # Slots that this proxy may use for reads on the primary; may be less than 1.
         self._read_slots = max(slots - reserve, 0) / proxies
-        self._queue = FairQueue()
+        self._queue = RoundRobinQueue()
         self._running = 0
         self._writes = 0
         self._primary_reads = 0
--- a/src/heatherpier/limits/_meters.py
+++ b/src/heatherpier/limits/_meters.py
@@ -37,9 +37,9 @@
         self._count = 0.0
         self._at = 0.0
 
-    def record(self, now: float) -> None:
-        """Records one event at ``now``, a monotonic time in seconds."""
-        self._count = self._decayed(now) + 1
+    def record(self, now: float, amount: float = 1.0) -> None:
+        """Records one event, or another amount, at ``now``, a monotonic time in s."""
+        self._count = self._decayed(now) + amount
         self._at = now
 
     def per_s(self, now: float) -> float:
--- a/src/heatherpier/limits/_queue.py
+++ b/src/heatherpier/limits/_queue.py
@@ -43,7 +43,7 @@
     granted: asyncio.Future[None]
 
 
-class FairQueue:
+class RoundRobinQueue:
     """Queue of waiters, ordered by class, and round robin by user within a class."""
 
     def __init__(self) -> None:
--- a/src/heatherpier/pooling/__init__.py
+++ b/src/heatherpier/pooling/__init__.py
@@ -14,9 +14,13 @@
 )
 from heatherpier.pooling._connection import InstanceConnection, SessionNeeds, shape_name
 from heatherpier.pooling._interface import InstanceConnector, InstanceLink
-from heatherpier.pooling._pool import ConnectionPool, PoolLimits
+from heatherpier.pooling._limits import PoolLimits
+from heatherpier.pooling._metrics import WaiterMetrics
+from heatherpier.pooling._pool import ConnectionPool
 from heatherpier.pooling._pools import InstancePools
 from heatherpier.pooling._shares import ConnectionShares
+from heatherpier.pooling._uses import ConnectionUse
+from heatherpier.pooling._waiters import FairOrder
 
 __all__ = [
     "ApplyValue",
@@ -24,7 +28,9 @@
     "Call",
     "ClearSession",
     "ConnectionShares",
+    "ConnectionUse",
     "Demote",
+    "FairOrder",
     "Forward",
     "ForwardExecute",
     "InstanceConnector",
@@ -37,5 +43,6 @@
     "PrepareShape",
     "RollBack",
     "SessionNeeds",
+    "WaiterMetrics",
     "shape_name",
 ]
--- a/src/heatherpier/pooling/_pool.py
+++ b/src/heatherpier/pooling/_pool.py
@@ -1,16 +1,22 @@
 """A bounded pool of connections to one instance."""
 
 import asyncio
-import heapq
-import itertools
 from collections.abc import Coroutine, Mapping
-from dataclasses import dataclass
 from typing import Any
 
-from heatherpier.pooling._calls import ClearSession, RollBack
+from heatherpier.pooling._calls import RollBack
 from heatherpier.pooling._connection import InstanceConnection
 from heatherpier.pooling._crowding import Crowding
+from heatherpier.pooling._idle import IDLE_LIMIT_S, IdleConnections, passes_check
 from heatherpier.pooling._interface import InstanceConnector
+from heatherpier.pooling._limits import PoolLimits
+from heatherpier.pooling._uses import (
+    INITIAL_USE_S,
+    USE_TIME_SMOOTHING,
+    ConnectionUse,
+    UseMeter,
+)
+from heatherpier.pooling._waiters import FairOrder, Grant, Waiter, Waiters, make_waiter
 from heatherpier.requests import OverloadedError
 from heatherpier.telemetry import get_logger
 from heatherpier.timers import Timers
@@ -23,63 +29,26 @@
 
 log = get_logger("lending")
 MS_PER_S = 1000
-# A connection that was idle for longer is checked before use, because an open
-# connection can stop answering for good.
-IDLE_CHECK_S = 1.0
-IDLE_CHECK_TIMEOUT_S = 0.25
 # Twice the slowest handshake on a healthy link, which is 12 ms of work on the instance,
 # 4 one-way network delays of 12 ms and the wait in a full queue.
 CONNECT_TIMEOUT_S = 0.6
 # Pause before the next attempt to open a connection after the instance rejected one as
 # too many. An instance keeps the connections of a proxy that lost power for 3 s.
 REJECTED_BACKOFF_S = 0.15
-# A connection is closed after it was idle for this long, unless the pool has no other.
-# If all proxies lose power at once, the instance keeps counting their connections for
-# 3 s, and what it accepts beyond these is all that the proxies have after their start.
-IDLE_LIMIT_S = 2.0
 # A connection beyond the soft limit is opened only for a waiter that would wait at
 # least this long, or has: opening takes a slot of the instance for 12 ms, as long as
 # most statements.
 EXCESS_WAIT_S = 0.1
 # Period of the check whether a waiter has waited that long.
 GROWTH_PERIOD_S = 0.02
-# Weight of the latest use in the moving average of the time in use.
-USE_TIME_SMOOTHING = 0.1
-# Mean time in use that is assumed before connections have been released.
-INITIAL_USE_S = 0.03
+# Period in which waiters in fair order that have become hopeless are refused.
+SHED_PERIOD_S = 0.05
 MIN_RETRY_MS = 50
 ROLLBACK_TIMEOUT_S = 0.5
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class _Waiter:
-    """A waiter for a connection.
-
-    Attributes:
-        fut: Result of the wait: a connection, or None for the permission to open one.
-        organisation: Organisation whose statement waits, or empty.
-    """
-
-    fut: asyncio.Future[InstanceConnection | None]
-    organisation: str
-
-
-@dataclass(slots=True)
-class PoolLimits:
-    """Bounds of a pool, which may change at any time.
-
-    Attributes:
-        soft_limit: Number of connections that are opened as soon as they are needed.
-        hard_limit: Maximum number of connections, reached only while waiters would
-            otherwise wait long.
-    """
-
-    soft_limit: int
-    hard_limit: int
-
-
 class ConnectionPool:
-    """Hands out connections to one instance, by priority and then in order of arrival.
+    """Hands out connections to one instance, in order of arrival or in fair order.
 
     Args:
         instance: The instance to connect to.
@@ -89,6 +58,7 @@
         limits: Bounds of the pool.
         crowding: Whether instances have too few connections for all proxies; None if
             that is not observed.
+        order: Fair order of waiters; None for priority and then arrival.
 
     Attributes:
         instance: The instance that the connections lead to.
@@ -107,6 +77,7 @@
         timers: Timers,
         limits: PoolLimits,
         crowding: Crowding | None = None,
+        order: FairOrder | None = None,
     ) -> None:
         self.instance = instance
         self.limits = limits
@@ -116,18 +87,17 @@
         self._connector = connector
         self._crowding = crowding
         self._timers = timers
-        self._idle: list[InstanceConnection] = []
+        self._idle = IdleConnections(timers=timers)
         self._open = 0
         self._opening = 0
-        self._waiters: list[tuple[int, int, _Waiter]] = []
-        # Monotonic times in seconds at which the waiters began to wait, by sequence.
-        self._waiting_since: dict[int, float] = {}
-        self._sequence = itertools.count()
+        self._waiters = Waiters(instance.name, timers=timers, order=order)
+        self._meter = UseMeter()
         self._mean_use_s = INITIAL_USE_S
         self._backoff_until = 0.0
         self._closed = False
         self._trimming = False
         self._growing = False
+        self._shedding = False
         self._tasks: set[asyncio.Task[None]] = set()
 
     @property
@@ -138,7 +108,12 @@
     @property
     def waiting(self) -> int:
         """Number of waiters without a connection."""
-        return sum(not waiter.fut.done() for _, _, waiter in self._waiters)
+        return len(self._waiters)
+
+    @property
+    def fair(self) -> bool:
+        """Whether waiters are in fair order, so that they may wait until late."""
+        return self._waiters.fair
 
     def expected_wait_s(self) -> float:
         """Returns how long a new waiter would wait, in seconds."""
@@ -155,6 +130,7 @@
         priority: int,
         deadline: float,
         organisation: str = "",
+        use: ConnectionUse | None = None,
     ) -> InstanceConnection:
         """Acquires a connection, to be returned by `release`.
 
@@ -163,32 +139,90 @@
             organisation: Organisation that the connection has to belong to, or empty.
             priority: Priority of the waiter; lower numbers are served first.
             deadline: Monotonic time in seconds at which the wait ends.
+            use: What the connection is for; None for a use with the deadline as its
+                objective.
 
         Raises:
             OverloadedError: The waiter would not be served before its deadline.
             ConnectError: No connection can be opened.
         """
+        use = use or ConnectionUse(
+            class_name="",
+            reads=False,
+            objective_at=deadline,
+            objective_s=deadline - self._timers.now(),
+        )
         while True:
-            conn = self._take_idle(values, organisation)
-            conn = conn or await self._try_open(organisation)
+            conn: InstanceConnection | None = None
+            if self._may_take(use):
+                self._meter.begin(use)
+                conn = self._idle.take(values, organisation)
+                if conn is None:
+                    conn = await self._open_counted(use, organisation)
             if conn is None:
-                conn = await self._wait(priority, deadline, organisation)
-                conn = conn or await self._try_open(organisation, offered=True)
-            if conn is not None and await self._is_alive(conn):
+                conn = await self._wait(use, priority, deadline, organisation)
+                if conn is None:
+                    conn = await self._open_counted(use, organisation, offered=True)
+            if conn is not None and await self._is_usable(conn, use):
                 return conn
 
-    def _take_idle(
-        self, values: Mapping[str, str], organisation: str
+    def _may_take(self, use: ConnectionUse) -> bool:
+        """Returns whether a newcomer may take a connection before it has waited."""
+        if not self._waiters.fair:
+            return True
+        limited = self._limited()
+        taken = use.class_name in limited or self._waiters.has_any(without=limited)
+        return not taken
+
+    def _limited(self) -> frozenset[str]:
+        """Returns the classes that must leave a connection to shorter work."""
+        if not (self.scarce and self._waiters.fair):
+            return frozenset()
+        limit = min(max(self._open, self.limits.soft_limit), self.limits.hard_limit)
+        return self._meter.limited(limit, self._timers.now())
+
+    async def _open_counted(
+        self, use: ConnectionUse, organisation: str, *, offered: bool = False
     ) -> InstanceConnection | None:
-        """Returns an idle connection of the organisation, the last used one first."""
-        usable = [conn for conn in self._idle if conn.organisation == organisation]
-        if not usable:
-            return None
-        conn = next((item for item in reversed(usable) if item.values == values), None)
-        conn = conn or usable[-1]
-        self._idle.remove(conn)
+        """Opens a connection for a use, which no longer counts if that fails."""
+        try:
+            conn = await self._try_open(organisation, offered=offered)
+        except BaseException:
+            self._end_use(use)
+            raise
+        if conn is None:
+            self._meter.end(use)
         return conn
 
+    async def _is_usable(self, conn: InstanceConnection, use: ConnectionUse) -> bool:
+        """Returns whether a connection is usable; if so, assigns it to its use."""
+        try:
+            usable = await passes_check(conn, timers=self._timers)
+        except BaseException:
+            conn.abort()
+            self._end_use(use)
+            self._note_closed()
+            raise
+        if usable:
+            self._meter.assign(conn, use)
+        else:
+            self._end_use(use)
+            self._note_closed()
+        return usable
+
+    def _end_use(self, use: ConnectionUse) -> None:
+        """Ends a use, after which a waiter that it kept waiting may be served."""
+        self._meter.end(use)
+        self._serve_idle()
+
+    def _serve_idle(self) -> None:
+        """Hands idle connections to waiters that had to leave them to shorter work."""
+        if self._timers.now() < self._backoff_until:
+            # A waiter of another organisation could not open its own connection.
+            return
+        while self._idle and self._waiters.has_any(without=self._limited()):
+            self._hand_over(self._idle.pop())
+
     async def _try_open(
         self, organisation: str, *, offered: bool = False
     ) -> InstanceConnection | None:
@@ -201,53 +235,70 @@
         if not (self._has_room() if offered else self._may_open()):
             if not self._idle or self._timers.now() < self._backoff_until:
                 return None
-            self._close_oldest_idle()
+            self._idle.close_oldest()
+            self._open -= 1
         try:
             return await self._open_one(organisation)
         except TooManyConnectionsError as exc:
             self._back_off(str(exc))
             return None
 
-    def _close_oldest_idle(self) -> None:
-        """Closes the idle connection that was not used for longest, to make room."""
-        conn = min(self._idle, key=lambda item: item.used_at)
-        self._idle.remove(conn)
-        conn.abort()
-        self._open -= 1
-
     async def _wait(
-        self, priority: int, deadline: float, organisation: str
-    ) -> InstanceConnection | None:
+        self, use: ConnectionUse, priority: int, deadline: float, organisation: str
+    ) -> Grant:
         """Waits for a connection, or for capacity to open one (then returns None)."""
         wait_s = self.expected_wait_s()
-        if self._timers.now() + wait_s >= deadline:
+        fair = self._waiters.fair
+        if not fair and self._timers.now() + wait_s >= deadline:
             raise self._overloaded(wait_s)
-        fut: asyncio.Future[InstanceConnection | None]
-        fut = asyncio.get_running_loop().create_future()
-        sequence = next(self._sequence)
-        waiter = _Waiter(fut=fut, organisation=organisation)
-        heapq.heappush(self._waiters, (priority, sequence, waiter))
-        self._waiting_since[sequence] = self._timers.now()
+        waiter = make_waiter(
+            use,
+            organisation=organisation,
+            priority=priority,
+            deadline=deadline,
+            cost_s=self._meter.mean_s(use.class_name),
+            now=self._timers.now(),
+        )
+        self._waiters.push(waiter, connections=self._open)
         if not self._growing and self._open < self.limits.hard_limit:
             self._growing = True
             self._start(self._grow())
+        if fair and not self._shedding:
+            self._shedding = True
+            self._start(self._shed())
         try:
             async with self._timers.timeout_at(deadline):
-                return await fut
+                return await waiter.fut
         except TimeoutError as exc:
-            self._pass_on(fut)
-            raise self._overloaded(wait_s) from exc
+            self._pass_on(waiter)
+            self._waiters.leave(waiter)
+            raise self._late(waiter, wait_s) from exc
         except asyncio.CancelledError:
-            self._pass_on(fut)
+            self._pass_on(waiter)
             raise
         finally:
-            del self._waiting_since[sequence]
+            self._waiters.leave(waiter)
+
+    def _late(self, waiter: Waiter, wait_s: float) -> OverloadedError:
+        """Returns the refusal of a waiter whose deadline has passed."""
+        if not self._waiters.fair:
+            return self._overloaded(wait_s)
+        return self._waiters.refusal(waiter, "deadline", wait_s)
 
-    def _pass_on(self, fut: asyncio.Future[InstanceConnection | None]) -> None:
+    def _pass_on(self, waiter: Waiter) -> None:
         """Hands on what a waiter was given in the turn in which its wait ended."""
+        fut = waiter.fut
         if fut.done() and not fut.cancelled() and not fut.exception():
+            self._meter.end(waiter.use)
             self._hand_over(fut.result())
 
+    async def _shed(self) -> None:
+        """Refuses waiters as soon as they have no chance, while there are any."""
+        while self._waiters.present and not self._closed:
+            await self._timers.sleep(SHED_PERIOD_S)
+            self._waiters.shed()
+        self._shedding = False
+
     def _back_off(self, reason: str) -> None:
         """Opens no connection for `REJECTED_BACKOFF_S`, then lets one waiter try."""
         if not self._open and self._crowding is not None:
@@ -274,7 +325,7 @@
 
     def _offer_capacity(self) -> None:
         """Lets the next waiter open a connection if the limits allow it."""
-        if self._waiters and self._may_open():
+        if self._waiters.present and self._may_open():
             self._hand_over(None)
 
     async def _grow(self) -> None:
@@ -283,8 +334,8 @@
         The estimate of the wait does not show that all connections are held for long,
         as by transactions with pauses: only what is released counts in it.
         """
-        while self._waiting_since and not self._closed:
-            left_s = EXCESS_WAIT_S - self._longest_wait_s()
+        while self._waiters.present and not self._closed:
+            left_s = EXCESS_WAIT_S - self._waiters.longest_wait_s()
             await self._timers.sleep(max(left_s, GROWTH_PERIOD_S))
             self._offer_capacity()
         self._growing = False
@@ -304,18 +355,13 @@
             return False
         if self._open < self.limits.soft_limit:
             return True
-        wait_s = max(self._queue_wait_s(), self._longest_wait_s())
+        wait_s = max(self._queue_wait_s(), self._waiters.longest_wait_s())
         return not self._opening and wait_s >= EXCESS_WAIT_S
 
     def _queue_wait_s(self) -> float:
         """Estimates the wait of a new waiter for an open connection, in seconds."""
         return (self.waiting + 1) * self._mean_use_s / max(self._open, 1)
 
-    def _longest_wait_s(self) -> float:
-        """Returns for how long the first of the present waiters has waited."""
-        now = self._timers.now()
-        return now - next(iter(self._waiting_since.values()), now)
-
     async def _open_one(self, organisation: str) -> InstanceConnection:
         if self._closed:
             raise ConnectError(f"{self.instance.name}: the pool is closed")
@@ -345,27 +391,6 @@
             organisation=organisation,
         )
 
-    async def _is_alive(self, conn: InstanceConnection) -> bool:
-        """Returns whether a connection is usable, after a check if it was idle."""
-        if self._timers.now() - conn.used_at <= IDLE_CHECK_S and not conn.has_unread():
-            return True
-        try:
-            await conn.run([ClearSession()], timeout_s=IDLE_CHECK_TIMEOUT_S)
-        except UpstreamError as exc:
-            log.info(
-                "idle check failed, connection closed",
-                instance=self.instance.name,
-                reason=str(exc),
-            )
-        except asyncio.CancelledError:
-            conn.abort()
-            self._note_closed()
-            raise
-        if conn.usable:
-            return True
-        self._note_closed()
-        return False
-
     def release(self, conn: InstanceConnection, *, held_s: float) -> None:
         """Returns a connection to the pool; one in an unknown state is closed.
 
@@ -374,6 +399,7 @@
             held_s: Time in seconds for which it was in use.
         """
         self._mean_use_s += (held_s - self._mean_use_s) * USE_TIME_SMOOTHING
+        self._meter.release(conn, held_s=held_s, now=self._timers.now())
         if self._closed or not conn.clean or self._open > self.limits.hard_limit:
             conn.abort()
             self._note_closed()
@@ -383,6 +409,7 @@
             self._note_closed()
             return
         self._hand_over(conn)
+        self._serve_idle()
 
     def _shares_in_turn(self) -> bool:
         """Returns whether proxies take turns with connections to the instance."""
@@ -391,10 +418,7 @@
 
     def close_idle(self) -> None:
         """Closes the idle connections, so that other proxies can open some."""
-        for conn in self._idle:
-            conn.abort()
-            self._open -= 1
-        self._idle.clear()
+        self._open -= self._idle.close_all()
 
     def roll_back_and_release(self, conn: InstanceConnection, *, held_s: float) -> None:
         """Rolls back a connection's transaction, then returns it to the pool.
@@ -424,15 +448,15 @@
 
         None stands for the capacity to open one.
         """
-        while self._waiters:
-            _, _, waiter = heapq.heappop(self._waiters)
-            if waiter.fut.done():
-                continue
+        preferred = None if conn is None else conn.organisation
+        waiter = self._waiters.pop(preferred, without=self._limited())
+        if waiter is not None:
             if conn is not None and conn.organisation != waiter.organisation:
                 # The waiter opens a connection of its own in place of this one.
                 conn.abort()
                 self._open -= 1
                 conn = None
+            self._meter.begin(waiter.use)
             waiter.fut.set_result(conn)
             return
         if conn is not None:
@@ -445,13 +469,7 @@
         """Closes connections that have become needless, while there are several."""
         while self._open > 1 and not self._closed:
             await self._timers.sleep(IDLE_LIMIT_S)
-            idle_since = self._timers.now() - IDLE_LIMIT_S
-            for conn in [idle for idle in self._idle if idle.used_at <= idle_since]:
-                if self._open <= 1:
-                    break
-                self._idle.remove(conn)
-                conn.abort()
-                self._open -= 1
+            self._open -= self._idle.close_unused(at_most=max(self._open - 1, 0))
         self._trimming = False
 
     def _note_closed(self) -> None:
@@ -473,9 +491,7 @@
         """Closes idle connections now and acquired ones when they are released."""
         self._closed = True
         self.close_idle()
-        for _, _, waiter in self._waiters:
-            if not waiter.fut.done():
-                waiter.fut.set_exception(
-                    ConnectError(f"{self.instance.name}: the pool is closed")
-                )
-        self._waiters.clear()
+        for waiter in self._waiters.drain():
+            waiter.fut.set_exception(
+                ConnectError(f"{self.instance.name}: the pool is closed")
+            )
--- a/src/heatherpier/pooling/_pools.py
+++ b/src/heatherpier/pooling/_pools.py
@@ -5,7 +5,9 @@
 from heatherpier.discovery import InstanceRecord
 from heatherpier.pooling._crowding import Crowding
 from heatherpier.pooling._interface import InstanceConnector
-from heatherpier.pooling._pool import ConnectionPool, PoolLimits
+from heatherpier.pooling._limits import PoolLimits
+from heatherpier.pooling._pool import ConnectionPool
+from heatherpier.pooling._waiters import FairOrder
 from heatherpier.timers import Timers
 
 
@@ -17,6 +19,7 @@
         timers: Timer service.
         limits: Returns how many connections this proxy may open to one instance of
             the given service.
+        order: Fair order of waiters; None for priority and then arrival.
     """
 
     def __init__(
@@ -25,10 +28,12 @@
         connector: InstanceConnector,
         timers: Timers,
         limits: Callable[[str], PoolLimits],
+        order: FairOrder | None = None,
     ) -> None:
         self._connector = connector
         self._timers = timers
         self._limits = limits
+        self._order = order
         self._pools: dict[str, tuple[InstanceRecord, ConnectionPool]] = {}
         self._crowding = Crowding(timers=timers, on_begin=self._close_idle_scarce)
 
@@ -55,6 +60,7 @@
             timers=self._timers,
             limits=self._limits(record.service),
             crowding=self._crowding,
+            order=self._order,
         )
         self._pools[record.name] = (record, pool)
         return pool
--- a/src/heatherpier/pooling/_shares.py
+++ b/src/heatherpier/pooling/_shares.py
@@ -2,7 +2,7 @@
 
 from collections import deque
 
-from heatherpier.pooling._pool import PoolLimits
+from heatherpier.pooling._limits import PoolLimits
 from heatherpier.timers import Timers
 
 # Connections that an instance keeps free for control statements.
--- a/src/heatherpier/serving/_attempts.py
+++ b/src/heatherpier/serving/_attempts.py
@@ -133,6 +133,7 @@
             organisation=statement.organisation,
             priority=statement.route.priority,
             deadline=queue_until,
+            use=statement.connection_use(in_transaction=False),
         )
         began = self._context.timers.now()
         service = statement.route.service
@@ -154,10 +155,15 @@
         full of connections of lost proxies, whose slots become free within seconds,
         and each refusal would use up one of the caller's few attempts.
 
+        In fair order, the pool refuses at once what it can't serve in time, so a
+        statement may wait as long as an answer could still arrive.
+
         Returns:
             Monotonic time in seconds.
         """
         latest = until - MIN_EXECUTION_S
+        if pool.fair:
+            return latest
         if not pool.open_connections:
             return min(latest, statement.unattempted_until())
         return min(latest, statement.queue_until(self._context.timers.now()))
--- a/src/heatherpier/serving/_pending_statement.py
+++ b/src/heatherpier/serving/_pending_statement.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, replace
 
-from heatherpier.pooling import Forward, ForwardExecute, SessionNeeds
+from heatherpier.pooling import ConnectionUse, Forward, ForwardExecute, SessionNeeds
 from heatherpier.positions import LogPosition
 from heatherpier.routing import Route
 
@@ -43,6 +43,23 @@
         """Id that the caller gave the statement."""
         return self.call.id
 
+    def connection_use(self, *, in_transaction: bool) -> ConnectionUse:
+        """Returns what the statement needs a connection for.
+
+        Args:
+            in_transaction: Whether a transaction begins with it, which holds the
+                connection for longer than the statement.
+        """
+        route = self.route
+        kind = "transaction" if in_transaction else "write" if self.writes else "read"
+        arrived_at = self.deadline - route.statement_timeout_s
+        return ConnectionUse(
+            class_name=f"{type(route.consistency).__name__} {kind}",
+            reads=kind == "read",
+            objective_at=arrived_at + route.objective_s,
+            objective_s=route.objective_s,
+        )
+
     def queue_until(self, now: float) -> float:
         """Returns until when the statement queues for a connection.
 
--- a/src/heatherpier/serving/_transaction.py
+++ b/src/heatherpier/serving/_transaction.py
@@ -150,6 +150,7 @@
                 deadline=self._runner.attempts.queue_until(
                     pool, statement, until=statement.deadline - MIN_EXECUTION_S
                 ),
+                use=statement.connection_use(in_transaction=True),
             )
         except (OverloadedError, ConnectError) as exc:
             return self._runner.attempts.not_sent(target, exc)
