--- a/src/heatherpier/_proxy_engine.py
+++ b/src/heatherpier/_proxy_engine.py
@@ -43,8 +43,10 @@
 from heatherpier.pooling import (
     CONTROL_CONNECTIONS,
     ConnectionShares,
+    FairOrder,
     InstancePools,
     PoolLimits,
+    WaiterMetrics,
 )
 from heatherpier.quotas import FleetRows, OpenGate, QuotaGate, QuotaMetrics, RowProof
 from heatherpier.routing import ActiveRoutes, RoutingTable
@@ -157,7 +159,14 @@
         )
         self._shares = ConnectionShares(timers=timers)
         pools = InstancePools(
-            connector=ports.connector, timers=timers, limits=self._pool_limits
+            connector=ports.connector,
+            timers=timers,
+            limits=self._pool_limits,
+            order=FairOrder(
+                active=lambda: self._routes.table.organisations is not None,
+                rng=rng,
+                metrics=WaiterMetrics(metrics),
+            ),
         )
         self.load_estimates = LoadEstimates()
         balancer = ReadBalancer(
