Forwarding: statements reach an instance through its home proxies

Cause: with more proxies than connections of an instance, or one connection per organisation, an even share is below one connection, and attempts are spent on connections that the instance rejects. Ruled out: a pool of remote connections with handshake, idle checks and trimming: a link costs nothing until it is used, so each attempt gets a new one. Change: package forwarding (homes by weighted rendezvous hashing, links, the home's server, probes of silent homes, loads of homes); pools choose the own or the remote path; a lost path does not count against the instance's health; the member's row carries the capacity of its VM.

--- a/src/heatherpier/_engine_ports.py
+++ b/src/heatherpier/_engine_ports.py
@@ -64,8 +64,12 @@
         seeds: Peers that are asked while no members are known.
         distance: Returns the distance of a data centre: 0 for the VM's own, 1 for
             others in its region, 2 for other regions.
+        region: Returns the region of a data centre.
+        capacity: Relative capacity of the VM.
     """
 
     me: Peer
     seeds: tuple[Peer, ...]
     distance: Callable[[str], int]
+    region: Callable[[str], str] = str
+    capacity: float = 1.0
--- a/src/heatherpier/_platform_proxy.py
+++ b/src/heatherpier/_platform_proxy.py
@@ -20,6 +20,7 @@
 from heatherpier._proxy_engine import ProxyEngine
 from heatherpier.discovery import InstanceRecord
 from heatherpier.fleet import Codec, Peer, ZmqPeers
+from heatherpier.forwarding import FORWARDING_MESSAGES
 from heatherpier.leases import LEASE_MESSAGES
 from heatherpier.platform import (
     CONFIG_KEY,
@@ -189,7 +190,7 @@
         network = ZmqPeers(
             me,
             keys=None,
-            codec=Codec(LEASE_MESSAGES),
+            codec=Codec((*LEASE_MESSAGES, *FORWARDING_MESSAGES)),
             timers=timers,
             on_sent=self._count_sent,
         )
@@ -202,6 +203,8 @@
                     self._peer(host, host) for host in cfg.seeds if host != cfg.host
                 ),
                 distance=cfg.distance,
+                region=cfg.region,
+                capacity=cfg.capacity,
             ),
             ports=Ports(
                 store=store,
@@ -236,6 +239,8 @@
         grace_s = self._cfg.grace_s
         began = self._timers.now()
         self._stopping = True
+        if self._engine is not None:
+            self._engine.forwarding.stop()
         log.info("stopping", sessions=listener.sessions, grace_s=grace_s)
         await self._sleep_until(began + grace_s * CLOSE_IDLE_FRACTION)
         log.info("closing idle sessions", sessions=listener.sessions)
--- a/src/heatherpier/_proxy_engine.py
+++ b/src/heatherpier/_proxy_engine.py
@@ -15,6 +15,7 @@
 from heatherpier._engine_ports import Ports, StoreLayout, UnreadableRowError, VmLocation
 from heatherpier._supervision import Run, run_supervised
 from heatherpier.discovery import InstanceRecord, InstanceRegistry
+from heatherpier.forwarding import Forwarding
 from heatherpier.identities import CallerDirectory
 from heatherpier.leases import (
     FLEET_TABLE,
@@ -105,6 +106,7 @@
     Attributes:
         context: State that all sessions share.
         view: Members and leaders of the fleet.
+        forwarding: Homes of the instances, and statements of other proxies.
     """
 
     def __init__(
@@ -147,8 +149,22 @@
             timers=timers,
         )
         self._shares = ConnectionShares(timers=timers)
+        self.forwarding = Forwarding(
+            location.me.name,
+            network=ports.network,
+            view=self.view,
+            routes=self._routes,
+            registry=self._registry,
+            leases=leases,
+            region=location.region,
+            metrics=metrics,
+            timers=timers,
+        )
         pools = InstancePools(
-            connector=ports.connector, timers=timers, limits=self._pool_limits
+            connector=ports.connector,
+            timers=timers,
+            limits=self._pool_limits,
+            remote=self.forwarding.pool,
         )
         replica_selector = ReplicaSelector(
             registry=self._registry,
@@ -175,6 +191,9 @@
             configuration_recent=self._configuration_recent,
         )
         self._runner = Runner(self.context)
+        self.forwarding.serve(
+            pools=pools, in_flight=self.context.in_flight, notes=self._health
+        )
         network, me = ports.network, location.me.name
         self._links = PeerLinks(me, network=network, view=self.view)
         self._coordinators = ChangeCoordinators(me, network=network, view=self.view)
@@ -267,6 +286,7 @@
             leases=self.context.leases,
             timers=timers,
             rng=rng,
+            capacity=self._location.capacity,
         )
         for copy in self._copies:
             wait_s = FLEET_LONG_POLL_S if copy is self.view.copy else LONG_POLL_S
@@ -324,6 +344,7 @@
         for task in self._watchers.values():
             task.cancel()
         await self._stack.aclose()
+        self.forwarding.close()
         self.context.pools.close()
 
     def _start_task(self, run: Run) -> None:
@@ -388,6 +409,7 @@
             )
             return
         if self._routes.replace_if_newer(table):
+            self.forwarding.directory.forget()
             self._update_watchers(table)
 
     def _update_watchers(self, table: RoutingTable) -> None:
@@ -480,21 +502,22 @@
                 avoided = (
                     self._health.in_backoff(record.name) or record.instance.leaving
                 )
-                if (near or primary) and not avoided:
+                may_warm = self.forwarding.may_warm(record)
+                if (near or primary) and not avoided and may_warm:
                     await self._warm_connection(record)
 
     async def _warm_connection(self, record: InstanceRecord) -> None:
         try:
-            await self.context.pools.of(record).warm()
+            await self.context.pools.direct(record).warm()
         except ConnectError as exc:
             self._note_failure(record.name, str(exc))
 
-    def _pool_limits(self, service: str) -> PoolLimits:
+    def _pool_limits(self, record: InstanceRecord) -> PoolLimits:
         """Returns how many connections this proxy may open to an instance."""
-        spec = self._routes.table.services.get(service)
+        spec = self._routes.table.services.get(record.service)
         if spec is None:
             return PoolLimits(soft_limit=1, hard_limit=1)
-        return self._shares.share(
+        return self.forwarding.limits(record) or self._shares.share(
             accepted=spec.max_connections, proxies=len(self.view.members)
         )
 
--- a/src/heatherpier/bench/_memory_peers.py
+++ b/src/heatherpier/bench/_memory_peers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections.abc import Awaitable
 from typing import Any
 
 from heatherpier.fleet import (
@@ -28,6 +29,9 @@
         timers: Timer service.
         codec: Encodes each message, to count its bytes and check its type.
         rng: Chooses which messages are lost.
+        detached: Types of message whose handling goes on when the sender no longer
+            waits for the answer, as it does on a real network. The handling of others
+            ends then.
 
     Attributes:
         loss_rate: Share of messages that are lost, from 0 to 1.
@@ -38,9 +42,17 @@
             VM still runs and refuses connections.
     """
 
-    def __init__(self, *, timers: Timers, codec: Codec, rng: random.Random) -> None:
+    def __init__(
+        self,
+        *,
+        timers: Timers,
+        codec: Codec,
+        rng: random.Random,
+        detached: tuple[type[Message], ...] = (),
+    ) -> None:
         self.timers = timers
         self.codec = codec
+        self.detached = detached
         self.rng = rng
         self.loss_rate = 0.0
         self.message_count = 0
@@ -108,6 +120,27 @@
         self.me = me
         self._fleet = fleet
         self._handlers: dict[type[Message], Handler[Any]] = {}
+        self._tasks: set[asyncio.Future[Message | None]] = set()
+
+    async def handle_detached(
+        self, handling: Awaitable[Message | None]
+    ) -> Message | None:
+        """Handles a message, also if the sender no longer waits for the answer.
+
+        Blocks until cancelled if the process ends meanwhile.
+        """
+        task = asyncio.ensure_future(handling)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        await asyncio.wait({task})
+        if task.cancelled():
+            await asyncio.Event().wait()
+        return task.result()
+
+    def close(self) -> None:
+        """Ends all detached handling with the process; there are no answers."""
+        for task in self._tasks:
+            task.cancel()
 
     def handle(self, kind: Any, handler: Handler[Any]) -> None:
         """Registers the handler that answers messages of one type."""
@@ -141,7 +174,10 @@
         handler = target._handlers.get(type(received))
         if handler is None:
             return None
-        answer = await handler(self.me.name, received)
+        if isinstance(received, self._fleet.detached):
+            answer = await target.handle_detached(handler(self.me.name, received))
+        else:
+            answer = await handler(self.me.name, received)
         delivered: Message | None = await self._fleet.deliver(
             target.me, self.me, answer
         )
--- a/src/heatherpier/bench/_simulated_deployment.py
+++ b/src/heatherpier/bench/_simulated_deployment.py
@@ -22,6 +22,7 @@
 from heatherpier.bench._simulated_link import SimulatedConnector
 from heatherpier.discovery import InstanceRecord
 from heatherpier.fleet import Codec, Peer
+from heatherpier.forwarding import FORWARDING_MESSAGES
 from heatherpier.leases import LEASE_MESSAGES
 from heatherpier.routing import (
     AnyCommit,
@@ -97,7 +98,10 @@
         self.rng = random.Random(seed)
         self.store = MemoryRowStore(timers=timers)
         self.fleet = MemoryFleet(
-            timers=timers, codec=Codec(LEASE_MESSAGES), rng=self.rng
+            timers=timers,
+            codec=Codec((*LEASE_MESSAGES, *FORWARDING_MESSAGES)),
+            rng=self.rng,
+            detached=FORWARDING_MESSAGES,
         )
         self.groups = {
             name: SimulatedGroup(name, zones=list(ZONES), timers=timers)
@@ -253,7 +257,9 @@
         """Kills a proxy's process; its VM keeps running and refuses connections."""
         self.fleet.stop(name)
         self.fleet.ended_addresses.add((name, 7000))
-        self.fleet.nodes.pop((name, 7000), None)
+        node = self.fleet.nodes.pop((name, 7000), None)
+        if node is not None:
+            node.close()
         del self.engines[name]
         await self._exit_stacks.pop(name).aclose()
 
--- a/src/heatherpier/bench/_simulated_group.py
+++ b/src/heatherpier/bench/_simulated_group.py
@@ -63,6 +63,9 @@
         lose_answers: Number of next statements that run but whose answers are lost.
         executed: Statements that the instance ran, in order.
         connections: Number of connections opened so far.
+        open_connections: Number of connections that are open.
+        accepts: Number of connections that may be open, or None if any number may.
+        rejected: Number of connections that were rejected as too many.
     """
 
     record: InstanceRecord
@@ -78,6 +81,14 @@
     lose_answers: int = 0
     executed: list[ExecutedStatement] = field(default_factory=list)
     connections: int = 0
+    open_connections: int = 0
+    accepts: int | None = None
+    rejected: int = 0
+
+    def may_connect(self) -> bool:
+        """Returns whether one more connection may be opened."""
+        room = self.accepts is None or self.open_connections < self.accepts
+        return room and not self.full
 
     @property
     def name(self) -> str:
--- a/src/heatherpier/bench/_simulated_link.py
+++ b/src/heatherpier/bench/_simulated_link.py
@@ -78,9 +78,11 @@
         if target.is_unresponsive_to(self._proxy):
             await asyncio.Event().wait()
         await self._timers.sleep(HANDSHAKE_S)
-        if target.full:
+        if not target.may_connect():
+            target.rejected += 1
             raise TooManyConnectionsError(instance.name)
         target.connections += 1
+        target.open_connections += 1
         return SimulatedLink(
             group,
             target,
@@ -143,6 +145,8 @@
 
     def abort(self) -> None:
         """Closes the connection; an open transaction is rolled back."""
+        if not self.closed:
+            self._instance.open_connections -= 1
         self.closed = True
 
     async def run(self, call: Call) -> Reply:
--- /dev/null
+++ b/src/heatherpier/forwarding/_server.py
@@ -0,0 +1,430 @@
+"""Runs the statements that other proxies forward to this one."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+import msgspec
+
+from heatherpier.discovery import InstanceRecord, InstanceRegistry
+from heatherpier.fleet import Message, PeerNetwork
+from heatherpier.forwarding._messages import (
+    ForwardAnswer,
+    ForwardEnd,
+    ForwardRequest,
+    HomeProbe,
+    HomeStatus,
+)
+from heatherpier.forwarding._metrics import ForwardingMetrics
+from heatherpier.forwarding._pins import LinkKey, Pin, Pins
+from heatherpier.forwarding._queue import WaitingRequests
+from heatherpier.forwarding._receipts import Receipts
+from heatherpier.forwarding._wire import decode_call, encode_reply
+from heatherpier.leases import InFlightWork, Lease, PrimaryLeases
+from heatherpier.pooling import (
+    ConnectionPool,
+    InstanceConnection,
+    InstancePools,
+    PrepareShape,
+    SessionNeeds,
+)
+from heatherpier.requests import OverloadedError
+from heatherpier.statements import Code, Failed, Reply
+from heatherpier.telemetry import get_logger
+from heatherpier.timers import Timers
+from heatherpier.upstreams import (
+    ConnectError,
+    ConnectionLostError,
+    TooManyConnectionsError,
+)
+
+log = get_logger("forwarding")
+MS_PER_S = 1000
+# A statement is not sent if less time than this is left for its answer.
+MIN_EXECUTION_S = 0.05
+MIN_RETRY_MS = 50
+
+
+class InstanceNotes(Protocol):
+    """Records how instances answer."""
+
+    def note_answer(self, name: str) -> None:
+        """Records that an instance answered, with success or failure."""
+
+    def note_failure(self, name: str, *, reason: str, sent_at: float) -> None:
+        """Records that an instance gave no answer."""
+
+
+class _NotRunError(Exception):
+    """The request is refused; nothing was written to the instance."""
+
+    def __init__(self, answer: ForwardAnswer) -> None:
+        super().__init__(answer.not_run)
+        self.answer = answer
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Job:
+    """A request with what was found out at its receipt.
+
+    Attributes:
+        key: The link.
+        req: The request.
+        received_at: Monotonic time in seconds of the receipt.
+    """
+
+    key: LinkKey
+    req: ForwardRequest
+    received_at: float
+
+    @property
+    def send_until(self) -> float:
+        """Monotonic time in seconds after which nothing is sent to the instance."""
+        left_s = self.req.left_ms / MS_PER_S - MIN_EXECUTION_S
+        return self.received_at + left_s
+
+    @property
+    def queue_until(self) -> float:
+        """Monotonic time in seconds until which it may wait for a connection."""
+        queue_until = self.received_at + self.req.queue_ms / MS_PER_S
+        return min(queue_until, self.send_until)
+
+    @property
+    def answer_until(self) -> float:
+        """Monotonic time in seconds until which an answer is of use."""
+        limit_ms = self.req.left_ms + self.req.grace_ms
+        return self.received_at + limit_ms / MS_PER_S
+
+
+class ForwardingServer:
+    """Answers forwarded requests on connections of this proxy's own pools.
+
+    It never forwards a request again, also if this proxy is not a home by its own
+    table.
+
+    Args:
+        network: Messages to and from other proxies.
+        incarnation: Incarnation of this process.
+        registry: The registered instances.
+        pools: Connection pools of the instances.
+        leases: Leases on primaries.
+        in_flight: In-flight work on primaries.
+        notes: Records how instances answer.
+        idle_limit_s: Returns the longest pause inside a transaction, in seconds.
+        metrics: Metrics of forwarding.
+        timers: Timer service.
+    """
+
+    def __init__(
+        self,
+        *,
+        network: PeerNetwork,
+        incarnation: int,
+        registry: InstanceRegistry,
+        pools: InstancePools,
+        leases: PrimaryLeases,
+        in_flight: InFlightWork,
+        notes: InstanceNotes,
+        idle_limit_s: Callable[[], float],
+        metrics: ForwardingMetrics,
+        timers: Timers,
+    ) -> None:
+        self._incarnation = incarnation
+        self._registry = registry
+        self._pools = pools
+        self._leases = leases
+        self._notes = notes
+        self._metrics = metrics
+        self._timers = timers
+        self._stopping = False
+        self._waiting = WaitingRequests()
+        # By sender and its incarnation.
+        self._receipts: dict[str, dict[int, Receipts]] = {}
+        self._running: dict[tuple[LinkKey, int], asyncio.Future[ForwardAnswer]] = {}
+        self._pins = Pins(
+            in_flight=in_flight,
+            idle_limit_s=idle_limit_s,
+            metrics=metrics,
+            timers=timers,
+        )
+        network.handle(ForwardRequest, self._on_request)
+        network.handle(ForwardEnd, self._on_end)
+        network.handle(HomeProbe, self._on_probe)
+
+    def stop(self) -> None:
+        """Refuses new requests from now on; open transactions may go on."""
+        if not self._stopping:
+            log.info("forwarded statements are refused, this proxy stops")
+        self._stopping = True
+
+    def close(self) -> None:
+        """Rolls back the transactions that are still open."""
+        self._pins.close()
+
+    async def _on_probe(self, sender: str, probe: HomeProbe) -> Message:
+        return HomeStatus(incarnation=self._incarnation, stopping=self._stopping)
+
+    async def _on_end(self, sender: str, end: ForwardEnd) -> None:
+        key = LinkKey(sender=sender, incarnation=end.incarnation, link=end.link)
+        self._receipts_of(sender, end.incarnation).end(end.link)
+        self._pins.end(key, cause="end")
+
+    async def _on_request(self, sender: str, req: ForwardRequest) -> Message:
+        key = LinkKey(sender=sender, incarnation=req.incarnation, link=req.link)
+        if req.home != self._incarnation:
+            # The process that the request was for may have run it already.
+            return self._answered(
+                key,
+                req,
+                ForwardAnswer(lost="the home has restarted", restarted=True),
+            )
+        running = self._running.get((key, req.step))
+        if running is not None:
+            return await asyncio.shield(running)
+        if not self._admit(key, req):
+            return self._answered(
+                key, req, ForwardAnswer(lost="the request was received before")
+            )
+        fut: asyncio.Future[ForwardAnswer] = asyncio.get_running_loop().create_future()
+        self._running[(key, req.step)] = fut
+        job = _Job(key=key, req=req, received_at=self._timers.now())
+        answer = ForwardAnswer(lost="the home has ended")
+        try:
+            answer = await self._run(job)
+        except Exception as exc:
+            log.exception("forwarded request failed", sender=sender, link=req.link)
+            answer = ForwardAnswer(lost=f"unexpected {type(exc).__name__} at the home")
+        finally:
+            del self._running[(key, req.step)]
+            fut.set_result(answer)
+        return self._answered(key, req, answer)
+
+    def _admit(self, key: LinkKey, req: ForwardRequest) -> bool:
+        """Returns whether a request has not been received before."""
+        held = self._pins.get(key) is not None
+        receipts = self._receipts_of(key.sender, key.incarnation)
+        return receipts.admit(req.link, req.step, held=held)
+
+    def _receipts_of(self, sender: str, incarnation: int) -> Receipts:
+        known = self._receipts.setdefault(sender, {})
+        receipts = known.get(incarnation)
+        if receipts is None:
+            for number, earlier in known.items():
+                if number < incarnation:
+                    earlier.close()
+            receipts = known[incarnation] = Receipts()
+            self._pins.end_earlier(sender, incarnation)
+        return receipts
+
+    def _answered(
+        self, key: LinkKey, req: ForwardRequest, answer: ForwardAnswer
+    ) -> ForwardAnswer:
+        """Counts an answer, and logs it unless the instance replied."""
+        result = "replied"
+        if answer.replies is None:
+            result = "lost" if answer.lost else "refused"
+            if answer.overloaded:
+                result = "overloaded"
+            log.info(
+                "forwarded request not served",
+                sender=key.sender,
+                link=key.link,
+                step=req.step,
+                instance=req.instance,
+                organisation=req.organisation,
+                primary=req.primary,
+                term_version=req.term_version,
+                left_ms=round(req.left_ms),
+                result=result,
+                reason=answer.not_run or answer.lost,
+                waiting=answer.waiting,
+                in_use=answer.in_use,
+            )
+        self._metrics.served.labels(result).inc()
+        return answer
+
+    async def _run(self, job: _Job) -> ForwardAnswer:
+        try:
+            pin = self._pins.get(job.key)
+            if pin is None:
+                pin = await self._acquire(job)
+            elif not self._may_continue(pin):
+                self._pins.end(job.key, cause="lease")
+                raise _refused("the lease of the home on the primary has ended")
+        except _NotRunError as exc:
+            return exc.answer
+        pin.busy = True
+        answer = await self._exchange(pin, job)
+        pin.busy = False
+        pin.used_at = self._timers.now()
+        ended = self._receipts_of(job.key.sender, job.key.incarnation).ended(
+            job.key.link
+        )
+        if pin.conn.usable and not pin.conn.clean and not ended:
+            self._pins.add(pin)
+            return self._with_load(pin.pool, answer, pinned=True)
+        self._pins.release(pin)
+        return self._with_load(pin.pool, answer, pinned=False)
+
+    def _may_continue(self, pin: Pin) -> bool:
+        return pin.lease is None or self._leases.is_valid_or_draining(pin.lease)
+
+    async def _acquire(self, job: _Job) -> Pin:
+        """Acquires a connection for a request outside of an open transaction.
+
+        Raises:
+            _NotRunError: The request is refused.
+        """
+        req = job.req
+        if self._stopping:
+            raise _refused("the home is stopping", stopping=True)
+        if req.continues:
+            raise _refused("the home does not hold the transaction")
+        record = self._record(req)
+        self._check_lease(req)
+        pool = self._pools.direct(record)
+        if not self._waiting.has_room(job.key.sender):
+            raise _NotRunError(
+                self._overloaded_answer(pool, "the home's queue is full")
+            )
+        with self._waiting.enter(job.key.sender):
+            conn = await self._wait_for_connection(pool, job)
+        began = self._timers.now()
+        try:
+            # The state may have changed during the wait.
+            lease = self._check_lease(req)
+            self._check_wanted(job)
+        except _NotRunError:
+            pool.release(conn, held_s=0.0)
+            raise
+        pin = Pin(
+            key=job.key,
+            conn=conn,
+            pool=pool,
+            service=req.service,
+            lease=lease,
+            began=began,
+            used_at=began,
+        )
+        self._pins.begin(pin)
+        return pin
+
+    def _record(self, req: ForwardRequest) -> InstanceRecord:
+        record = self._registry.get(req.instance)
+        if record is None or record.service != req.service:
+            raise _refused(f"the home does not know {req.instance}")
+        if record.started_ms != req.started_ms:
+            raise _refused(
+                f"the home knows {req.instance} as started at {record.started_ms},"
+                f" not at {req.started_ms}"
+            )
+        return record
+
+    def _check_lease(self, req: ForwardRequest) -> Lease | None:
+        """Returns this proxy's lease on the instance; None if it is used as a replica.
+
+        Raises:
+            _NotRunError: The instance is to be used as the primary without a lease.
+        """
+        if not req.primary:
+            return None
+        lease = self._leases.lease(req.service)
+        if isinstance(lease, Lease) and lease.instance == req.instance:
+            return lease
+        reason = lease.instance if isinstance(lease, Lease) else lease.reason
+        raise _refused(f"the home has no lease on {req.instance}: {reason}")
+
+    def _check_wanted(self, job: _Job) -> None:
+        if self._timers.now() > job.send_until:
+            raise _refused("no connection in time")
+        if self._receipts_of(job.key.sender, job.key.incarnation).ended(job.key.link):
+            raise _refused("the sender has ended the link")
+
+    async def _wait_for_connection(
+        self, pool: ConnectionPool, job: _Job
+    ) -> InstanceConnection:
+        req = job.req
+        sent_at = self._timers.now()
+        try:
+            return await pool.acquire(
+                req.values,
+                organisation=req.organisation,
+                priority=req.priority,
+                deadline=job.queue_until,
+            )
+        except OverloadedError as exc:
+            answer = self._overloaded_answer(pool, exc.reason, exc.retry_after_ms)
+            raise _NotRunError(answer) from exc
+        except TooManyConnectionsError as exc:
+            raise _refused(str(exc)) from exc
+        except ConnectError as exc:
+            self._notes.note_failure(req.instance, reason=str(exc), sent_at=sent_at)
+            raise _refused(str(exc), unreachable=True) from exc
+
+    def _overloaded_answer(
+        self, pool: ConnectionPool, reason: str, retry_after_ms: int | None = None
+    ) -> ForwardAnswer:
+        wait_ms = max(int(pool.expected_wait_s() * MS_PER_S), MIN_RETRY_MS)
+        return self._with_load(
+            pool,
+            ForwardAnswer(
+                not_run=reason,
+                overloaded=True,
+                retry_after_ms=retry_after_ms or wait_ms,
+            ),
+            pinned=False,
+        )
+
+    async def _exchange(self, pin: Pin, job: _Job) -> ForwardAnswer:
+        """Runs the calls of a request on a connection, after its session state."""
+        req, conn = job.req, pin.conn
+        needs = _needs(req)
+        setup = conn.setup_calls(needs)
+        calls = [*setup, *map(decode_call, req.calls)]
+        sent_at = self._timers.now()
+        try:
+            replies = await conn.run(
+                calls, timeout_s=max(job.answer_until - sent_at, MIN_EXECUTION_S)
+            )
+        except ConnectError as exc:
+            return ForwardAnswer(not_run=str(exc))
+        except ConnectionLostError as exc:
+            self._notes.note_failure(req.instance, reason=str(exc), sent_at=sent_at)
+            return ForwardAnswer(lost=str(exc))
+        self._notes.note_answer(req.instance)
+        for reply in replies[: len(setup)]:
+            if isinstance(reply.outcome, Failed):
+                conn.abort()
+                return ForwardAnswer(lost=f"setup failed: {reply.outcome.reason}")
+        replies = replies[len(setup) :]
+        if any(_lacks_prepared_statement(reply) for reply in replies):
+            conn.forget_prepared()
+        return ForwardAnswer(replies=[encode_reply(reply) for reply in replies])
+
+    def _with_load(
+        self, pool: ConnectionPool, answer: ForwardAnswer, *, pinned: bool
+    ) -> ForwardAnswer:
+        return msgspec.structs.replace(
+            answer, pinned=pinned, waiting=pool.waiting, in_use=pool.in_use
+        )
+
+
+def _refused(
+    reason: str, *, stopping: bool = False, unreachable: bool = False
+) -> _NotRunError:
+    return _NotRunError(
+        ForwardAnswer(not_run=reason, stopping=stopping, unreachable=unreachable)
+    )
+
+
+def _needs(req: ForwardRequest) -> SessionNeeds:
+    prepared = None if req.prepared is None else decode_call(req.prepared)
+    if prepared is not None and not isinstance(prepared, PrepareShape):
+        raise TypeError(f"expected a prepared statement, got {type(prepared).__name__}")
+    return SessionNeeds(values=req.values, prepared=prepared)
+
+
+def _lacks_prepared_statement(reply: Reply) -> bool:
+    outcome = reply.outcome
+    return isinstance(outcome, Failed) and outcome.code is Code.UNKNOWN_STATEMENT
--- a/src/heatherpier/leases/_records.py
+++ b/src/heatherpier/leases/_records.py
@@ -86,10 +86,12 @@
         return self.state.epoch == epoch_of(self.version)
 
 
-class _Member(msgspec.Struct, frozen=True, kw_only=True):
+class _Member(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
     host: str
     port: int
     data_centre: str
+    # Relative capacity of the VM. Rows of builds that don't know it lack it.
+    capacity: float = 1.0
 
 
 _leadership_decoder = msgspec.json.Decoder(Leadership)
@@ -110,20 +112,33 @@
     return _leadership_decoder.decode(body)
 
 
-def encode_member(peer: Peer) -> bytes:
-    """Returns the content of a member's row."""
+def encode_member(peer: Peer, *, capacity: float = 1.0) -> bytes:
+    """Returns the content of a member's row.
+
+    Args:
+        peer: Name and address of the member.
+        capacity: Relative capacity of its VM. Builds that don't know it ignore it.
+    """
     return msgspec.json.encode(
-        _Member(host=peer.host, port=peer.port, data_centre=peer.data_centre)
+        _Member(
+            host=peer.host,
+            port=peer.port,
+            data_centre=peer.data_centre,
+            capacity=capacity,
+        )
     )
 
 
-def decode_member(name: str, body: bytes) -> Peer:
-    """Returns the member called ``name`` with the address in the content of its row.
+def decode_member(name: str, body: bytes) -> tuple[Peer, float]:
+    """Returns the member called ``name`` in the content of its row, and its capacity.
 
     Raises:
         msgspec.MsgspecError: The content can't be decoded.
     """
     member = _member_decoder.decode(body)
-    return Peer(
+    peer = Peer(
         name=name, host=member.host, port=member.port, data_centre=member.data_centre
     )
+    # A weight has to be positive; a row that states none at all counts like one
+    # without a weight.
+    return peer, member.capacity if member.capacity > 0 else 1.0
--- a/src/heatherpier/leases/_registration.py
+++ b/src/heatherpier/leases/_registration.py
@@ -30,6 +30,7 @@
         leases: Leases of this proxy; there are none without a known member row.
         timers: Timer service.
         rng: Source of the jitter of retries.
+        capacity: Relative capacity of this proxy's VM.
     """
 
     def __init__(
@@ -41,8 +42,10 @@
         leases: PrimaryLeases,
         timers: Timers,
         rng: random.Random,
+        capacity: float = 1.0,
     ) -> None:
         self._me = me
+        self._capacity = capacity
         self._store = store
         self._view = view
         self._leases = leases
@@ -90,6 +93,8 @@
         record = self._view.members.get(self._me.name)
         if record is None or record.peer != self._me:
             return False
+        if record.capacity != self._capacity:
+            return False
         self._leases.note_registered(record.version)
         return True
 
@@ -100,7 +105,7 @@
         version = await self._store.put(
             FLEET_TABLE,
             MEMBER_PREFIX + self._me.name,
-            encode_member(self._me),
+            encode_member(self._me, capacity=self._capacity),
             expected=0 if record is None else record.version,
         )
         log.info("registered", member=self._me.name, version=version)
--- a/src/heatherpier/leases/_view.py
+++ b/src/heatherpier/leases/_view.py
@@ -35,10 +35,14 @@
     Attributes:
         peer: Name and address of the proxy.
         version: Version of the member's row.
+        capacity: Relative capacity of its VM; 1 if its row lacks it.
+        stopping: Whether it is about to end.
     """
 
     peer: Peer
     version: int
+    capacity: float = 1.0
+    stopping: bool = False
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -159,7 +163,7 @@
             self._remove_member(name, row)
             return
         try:
-            peer = decode_member(name, row.body)
+            peer, capacity = decode_member(name, row.body)
         except msgspec.MsgspecError as exc:
             _log_undecodable(row, exc)
             return
@@ -167,7 +171,9 @@
             # The member's row may have been removed and written again in between. The
             # voter set without the member then was current, so it is recorded.
             self.history.note_voters(self.voters())
-        self.members[name] = MemberRecord(peer=peer, version=row.version)
+        self.members[name] = MemberRecord(
+            peer=peer, version=row.version, capacity=capacity
+        )
         self.history.note_voters(self.voters())
         log.info("member row received", member=name, version=row.version)
 
--- a/src/heatherpier/platform/_settings.py
+++ b/src/heatherpier/platform/_settings.py
@@ -22,6 +22,9 @@
 class _Limits(msgspec.Struct, kw_only=True, rename="camel"):
     memory_mb: float = 0
     max_fds: int = 0
+    cores: float = 1
+    # Share of these cores that the process may use.
+    cpu_share: float = 1
 
 
 class _Bounds(msgspec.Struct, kw_only=True, rename="camel"):
@@ -75,6 +78,7 @@
         seeds: Hosts of other proxies, which may be out of date.
         grace_s: Time from SIGTERM to SIGKILL, in seconds.
         identifies_callers: Whether callers need a key.
+        capacity: Processor cores that the process may use.
     """
 
     name: str
@@ -90,6 +94,7 @@
     seeds: tuple[str, ...]
     grace_s: float
     identifies_callers: bool = False
+    capacity: float = 1.0
 
     def distance(self, data_centre: str) -> int:
         """Returns 0 for the VM's data centre, 1 for others of its region, else 2."""
@@ -98,6 +103,10 @@
         own = self.regions.get(self.data_centre)
         return 1 if own is not None and self.regions.get(data_centre) == own else 2
 
+    def region(self, data_centre: str) -> str:
+        """Returns the region of a data centre; an unlisted one is its own region."""
+        return self.regions.get(data_centre, data_centre)
+
 
 def load_vm_settings(path: Path) -> VmSettings:
     """Loads the settings file.
@@ -132,4 +141,5 @@
         seeds=seeds,
         grace_s=raw.bounds.grace_s,
         identifies_callers=IDENTITIES_CONTRACT in raw.contracts,
+        capacity=raw.limits.cores * raw.limits.cpu_share,
     )
--- a/src/heatherpier/pooling/__init__.py
+++ b/src/heatherpier/pooling/__init__.py
@@ -13,12 +13,13 @@
     RollBack,
 )
 from heatherpier.pooling._connection import InstanceConnection, SessionNeeds, shape_name
-from heatherpier.pooling._interface import InstanceConnector, InstanceLink
+from heatherpier.pooling._interface import InstanceConnector, InstanceLink, Pool
 from heatherpier.pooling._pool import ConnectionPool, PoolLimits
 from heatherpier.pooling._pools import InstancePools
-from heatherpier.pooling._shares import ConnectionShares
+from heatherpier.pooling._shares import CONTROL_CONNECTIONS, ConnectionShares
 
 __all__ = [
+    "CONTROL_CONNECTIONS",
     "ApplyValue",
     "FetchStatus",
     "Call",
@@ -33,6 +34,7 @@
     "ConnectionPool",
     "InstanceConnection",
     "OpenTransaction",
+    "Pool",
     "PoolLimits",
     "PrepareShape",
     "RollBack",
--- a/src/heatherpier/pooling/_connection.py
+++ b/src/heatherpier/pooling/_connection.py
@@ -97,12 +97,15 @@
             calls.append(needs.prepared)
         return calls
 
-    async def run(self, calls: Sequence[Call], *, timeout_s: float) -> list[Reply]:
+    async def run(
+        self, calls: Sequence[Call], *, timeout_s: float, grace_s: float = 0.0
+    ) -> list[Reply]:
         """Sends calls in one batch and returns their answers.
 
         Args:
             calls: The calls, in order.
-            timeout_s: Longest wait for all answers, in seconds.
+            timeout_s: Time in seconds within which all answers are needed.
+            grace_s: Time in seconds after that for which late answers are still read.
 
         Raises:
             ConnectError: The connection was already closed; nothing was sent.
@@ -118,12 +121,12 @@
             )
         self._busy = True
         try:
-            async with self._timers.timeout(timeout_s):
+            async with self._timers.timeout(timeout_s + grace_s):
                 replies = await self._link.exchange(calls)
         except TimeoutError as exc:
             self.abort()
             raise AnswerTimeoutError(
-                f"{self.instance}: no answer within {timeout_s:.3f} s"
+                f"{self.instance}: no answer within {timeout_s + grace_s:.3f} s"
             ) from exc
         except BaseException:
             self.abort()
--- a/src/heatherpier/pooling/_pool.py
+++ b/src/heatherpier/pooling/_pool.py
@@ -72,10 +72,13 @@
         soft_limit: Number of connections that are opened as soon as they are needed.
         hard_limit: Maximum number of connections, reached only while waiters would
             otherwise wait long.
+        idle_s: Time in seconds after which an idle connection is closed, unless the
+            pool has no other.
     """
 
     soft_limit: int
     hard_limit: int
+    idle_s: float = IDLE_LIMIT_S
 
 
 class ConnectionPool:
@@ -135,6 +138,11 @@
         """Number of connections that are acquired, idle or being opened."""
         return self._open
 
+    @property
+    def in_use(self) -> int:
+        """Number of connections that are acquired or being opened."""
+        return self._open - len(self._idle)
+
     @property
     def waiting(self) -> int:
         """Number of waiters without a connection."""
@@ -444,8 +452,9 @@
     async def _trim(self) -> None:
         """Closes connections that have become needless, while there are several."""
         while self._open > 1 and not self._closed:
-            await self._timers.sleep(IDLE_LIMIT_S)
-            idle_since = self._timers.now() - IDLE_LIMIT_S
+            idle_s = self.limits.idle_s
+            await self._timers.sleep(idle_s)
+            idle_since = self._timers.now() - idle_s
             for conn in [idle for idle in self._idle if idle.used_at <= idle_since]:
                 if self._open <= 1:
                     break
--- a/src/heatherpier/pooling/_pools.py
+++ b/src/heatherpier/pooling/_pools.py
@@ -4,7 +4,7 @@
 
 from heatherpier.discovery import InstanceRecord
 from heatherpier.pooling._crowding import Crowding
-from heatherpier.pooling._interface import InstanceConnector
+from heatherpier.pooling._interface import InstanceConnector, Pool
 from heatherpier.pooling._pool import ConnectionPool, PoolLimits
 from heatherpier.timers import Timers
 
@@ -15,8 +15,9 @@
     Args:
         connector: Opens connections.
         timers: Timer service.
-        limits: Returns how many connections this proxy may open to one instance of
-            the given service.
+        limits: Returns how many connections this proxy may open to an instance.
+        remote: Returns the pool through which statements of an organisation reach an
+            instance by way of another proxy, or None if this proxy's own is to be used.
     """
 
     def __init__(
@@ -24,16 +25,28 @@
         *,
         connector: InstanceConnector,
         timers: Timers,
-        limits: Callable[[str], PoolLimits],
+        limits: Callable[[InstanceRecord], PoolLimits],
+        remote: Callable[[InstanceRecord, str], Pool | None] = lambda *_: None,
     ) -> None:
         self._connector = connector
         self._timers = timers
         self._limits = limits
+        self._remote = remote
         self._pools: dict[str, tuple[InstanceRecord, ConnectionPool]] = {}
         self._crowding = Crowding(timers=timers, on_begin=self._close_idle_scarce)
 
-    def of(self, record: InstanceRecord) -> ConnectionPool:
-        """Returns the pool of an instance, with its current limits.
+    def of(self, record: InstanceRecord, organisation: str = "") -> Pool:
+        """Returns the pool for statements of an organisation to an instance.
+
+        Args:
+            record: The instance.
+            organisation: Name of the organisation, or empty.
+        """
+        remote = self._remote(record, organisation)
+        return self.direct(record) if remote is None else remote
+
+    def direct(self, record: InstanceRecord) -> ConnectionPool:
+        """Returns this proxy's own pool of an instance, with its current limits.
 
         The pool of an earlier incarnation is closed and replaced.
         """
@@ -44,7 +57,7 @@
     def _current_pool(self, record: InstanceRecord) -> ConnectionPool:
         entry = self._pools.get(record.name)
         if entry is not None and _same_incarnation(entry[0], record):
-            entry[1].limits = self._limits(record.service)
+            entry[1].limits = self._limits(record)
             return entry[1]
         if entry is not None:
             entry[1].close()
@@ -53,7 +66,7 @@
             service=record.service,
             connector=self._connector,
             timers=self._timers,
-            limits=self._limits(record.service),
+            limits=self._limits(record),
             crowding=self._crowding,
         )
         self._pools[record.name] = (record, pool)
--- a/src/heatherpier/serving/_attempts.py
+++ b/src/heatherpier/serving/_attempts.py
@@ -9,9 +9,9 @@
 from heatherpier.leases import Lease
 from heatherpier.pooling import (
     Call,
-    ConnectionPool,
     InstanceConnection,
     OpenTransaction,
+    Pool,
 )
 from heatherpier.positions import LogPosition
 from heatherpier.requests import OverloadedError
@@ -23,6 +23,8 @@
 from heatherpier.upstreams import (
     ConnectError,
     ConnectionLostError,
+    InstanceUnreachableError,
+    PathLostError,
     TooManyConnectionsError,
 )
 
@@ -124,9 +126,9 @@
     @asynccontextmanager
     async def acquired(
         self, target: Target, statement: PendingStatement, *, until: float
-    ) -> AsyncIterator[tuple[InstanceConnection, ConnectionPool]]:
+    ) -> AsyncIterator[tuple[InstanceConnection, Pool]]:
         """Acquires a connection to the target for the duration of the context."""
-        pool = self._context.pools.of(target.record)
+        pool = self._context.pools.of(target.record, statement.organisation)
         queue_until = self.queue_until(pool, statement, until=until)
         conn = await pool.acquire(
             statement.needs.values,
@@ -146,7 +148,7 @@
             pool.release(conn, held_s=self._context.timers.now() - began)
 
     def queue_until(
-        self, pool: ConnectionPool, statement: PendingStatement, *, until: float
+        self, pool: Pool, statement: PendingStatement, *, until: float
     ) -> float:
         """Returns until when a statement queues for a connection.
 
@@ -294,9 +296,13 @@
         taken_at = timers.elapsed()
         self._context.health.note_sent(target.name, sent_at)
         try:
-            replies = await conn.run(calls, timeout_s=until - sent_at + grace_s)
+            replies = await conn.run(calls, timeout_s=until - sent_at, grace_s=grace_s)
+        except (OverloadedError, InstanceUnreachableError) as exc:
+            return self.not_sent(target, exc)
         except ConnectError as exc:
             return NotSent(reason=str(exc))
+        except PathLostError as exc:
+            return AnswerLost(reason=str(exc))
         except ConnectionLostError as exc:
             self._note_failure(target.name, str(exc), sent_at)
             return AnswerLost(reason=str(exc))
--- a/src/heatherpier/serving/_transaction.py
+++ b/src/heatherpier/serving/_transaction.py
@@ -1,6 +1,6 @@
 """A caller's transaction, which its first statement binds to one connection."""
 
-from heatherpier.pooling import ConnectionPool, InstanceConnection
+from heatherpier.pooling import InstanceConnection, Pool
 from heatherpier.requests import OverloadedError
 from heatherpier.routing import AnyCommit, Route
 from heatherpier.serving._attempts import (
@@ -62,7 +62,7 @@
         )
         self._target: Target | None = None
         self._conn: InstanceConnection | None = None
-        self._pool: ConnectionPool | None = None
+        self._pool: Pool | None = None
         self._bound_at = 0.0
 
     @property
@@ -141,7 +141,7 @@
     ) -> AttemptResult:
         """Binds a connection, opens the transaction and runs the statement."""
         context = self._context
-        pool = context.pools.of(target.record)
+        pool = context.pools.of(target.record, statement.organisation)
         try:
             conn = await pool.acquire(
                 statement.needs.values,
--- a/src/heatherpier/upstreams/_errors.py
+++ b/src/heatherpier/upstreams/_errors.py
@@ -13,6 +13,10 @@
     """The instance rejected a connection because its connection limit is reached."""
 
 
+class InstanceUnreachableError(ConnectError):
+    """Another proxy, which was to run the statement, can't connect to the instance."""
+
+
 class PoolBusyError(ConnectError):
     """All connections that this proxy may open to the instance are in use."""
 
@@ -39,5 +43,12 @@
     """No answer to a sent statement arrived, so its outcome is unknown."""
 
 
+class PathLostError(ConnectionLostError):
+    """A proxy on the path to the instance gave no answer.
+
+    This says nothing about the instance.
+    """
+
+
 class AnswerTimeoutError(ConnectionLostError):
     """No answer arrived in time. The connection is closed and not reused."""
