--- a/src/heatherpier/_proxy_engine.py
+++ b/src/heatherpier/_proxy_engine.py
@@ -16,6 +16,7 @@
 from heatherpier._supervision import Run, run_supervised
 from heatherpier.balancing import BalancingMetrics, LoadEstimates
 from heatherpier.discovery import InstanceRecord, InstanceRegistry
+from heatherpier.forwarding import Forwarding
 from heatherpier.identities import CallerDirectory
 from heatherpier.leases import (
     FLEET_TABLE,
@@ -41,7 +42,6 @@
     SampleExchange,
 )
 from heatherpier.pooling import (
-    CONTROL_CONNECTIONS,
     ConnectionShares,
     FairOrder,
     InstancePools,
@@ -113,6 +113,7 @@
         context: State that all sessions share.
         view: Members and leaders of the fleet.
         load_estimates: What is known of the load of the instances.
+        forwarding: Homes of the instances, and statements of other proxies.
     """
 
     def __init__(
@@ -158,17 +159,30 @@
             timers=timers,
         )
         self._shares = ConnectionShares(timers=timers)
+        self.load_estimates = LoadEstimates()
+        self.forwarding = Forwarding(
+            location.me.name,
+            network=ports.network,
+            view=self.view,
+            routes=self._routes,
+            registry=self._registry,
+            leases=leases,
+            region=location.region,
+            note_load=self.load_estimates.note_report,
+            metrics=metrics,
+            timers=timers,
+        )
         pools = InstancePools(
             connector=ports.connector,
             timers=timers,
             limits=self._pool_limits,
+            remote=self.forwarding.pool,
             order=FairOrder(
                 active=lambda: self._routes.table.organisations is not None,
                 rng=rng,
                 metrics=WaiterMetrics(metrics),
             ),
         )
-        self.load_estimates = LoadEstimates()
         balancer = ReadBalancer(
             estimates=self.load_estimates,
             active=self._balances_reads,
@@ -205,6 +219,9 @@
             quotas=self._make_gate(metrics) if limits_rates else OpenGate(),
         )
         self._runner = Runner(self.context)
+        self.forwarding.serve(
+            pools=pools, in_flight=self.context.in_flight, notes=self._health
+        )
         network, me = ports.network, location.me.name
         self._links = PeerLinks(me, network=network, view=self.view)
         self._coordinators = ChangeCoordinators(me, network=network, view=self.view)
@@ -319,6 +336,7 @@
             leases=self.context.leases,
             timers=timers,
             rng=rng,
+            capacity=self._location.capacity,
         )
         for copy in self._copies:
             wait_s = FLEET_LONG_POLL_S if copy is self.view.copy else LONG_POLL_S
@@ -377,6 +395,7 @@
         for task in self._watchers.values():
             task.cancel()
         await self._stack.aclose()
+        self.forwarding.close()
         self.context.pools.close()
 
     def _start_task(self, run: Run) -> None:
@@ -441,6 +460,7 @@
             )
             return
         if self._routes.replace_if_newer(table):
+            self.forwarding.directory.forget()
             self._update_watchers(table)
 
     def _update_watchers(self, table: RoutingTable) -> None:
@@ -534,35 +554,29 @@
                 avoided = (
                     self._health.in_backoff(record.name) or record.instance.leaving
                 )
-                if (near or primary) and not avoided:
+                may_warm = self.forwarding.may_warm(record)
+                if (near or primary) and not avoided and may_warm:
                     await self._warm_connection(record)
 
     async def _warm_connection(self, record: InstanceRecord) -> None:
         try:
-            await self.context.pools.of(record).warm()
+            await self.context.pools.direct(record).warm()
         except ConnectError as exc:
             self._note_failure(record.name, str(exc))
 
     def _balances_reads(self) -> bool:
-        """Returns whether an even share is below one connection, or callers have keys.
-
-        Elsewhere each proxy has connections of its own to every instance.
-        """
-        table = self._routes.table
-        if table.organisations is not None:
-            return True
-        members = len(self.view.members)
+        """Returns whether statements are forwarded for any service."""
         return any(
-            spec.max_connections - CONTROL_CONNECTIONS < members
-            for spec in table.services.values()
+            self.forwarding.directory.active(service)
+            for service in self._routes.table.services
         )
 
-    def _pool_limits(self, service: str) -> PoolLimits:
+    def _pool_limits(self, record: InstanceRecord) -> PoolLimits:
         """Returns how many connections this proxy may open to an instance."""
-        spec = self._routes.table.services.get(service)
+        spec = self._routes.table.services.get(record.service)
         if spec is None:
             return PoolLimits(soft_limit=1, hard_limit=1)
-        return self._shares.share(
+        return self.forwarding.limits(record) or self._shares.share(
             accepted=spec.max_connections, proxies=len(self.view.members)
         )
 
--- a/src/heatherpier/platform/_settings.py
+++ b/src/heatherpier/platform/_settings.py
@@ -22,6 +22,9 @@
 class _Limits(msgspec.Struct, kw_only=True, rename="camel"):
     memory_mb: float = 0
     max_fds: int = 0
+    cores: float = 1
+    # Share of these cores that the process may use.
+    cpu_share: float = 1
 
 
 class _Bounds(msgspec.Struct, kw_only=True, rename="camel"):
@@ -80,6 +83,7 @@
         identifies_callers: Whether callers need a key.
         quota_window_s: Length of the windows in which the operations of an
             organisation are limited, in seconds; 0 if they are not.
+        capacity: Processor cores that the process may use.
     """
 
     name: str
@@ -96,6 +100,7 @@
     grace_s: float
     identifies_callers: bool = False
     quota_window_s: float = 0
+    capacity: float = 1.0
 
     def distance(self, data_centre: str) -> int:
         """Returns 0 for the VM's data centre, 1 for others of its region, else 2."""
@@ -104,6 +109,10 @@
         own = self.regions.get(self.data_centre)
         return 1 if own is not None and self.regions.get(data_centre) == own else 2
 
+    def region(self, data_centre: str) -> str:
+        """Returns the region of a data centre; an unlisted one is its own region."""
+        return self.regions.get(data_centre, data_centre)
+
 
 def load_vm_settings(path: Path) -> VmSettings:
     """Loads the settings file.
@@ -139,4 +148,5 @@
         grace_s=raw.bounds.grace_s,
         identifies_callers=IDENTITIES_CONTRACT in raw.contracts,
         quota_window_s=raw.bounds.quota_window_s,
+        capacity=raw.limits.cores * raw.limits.cpu_share,
     )
--- a/src/heatherpier/pooling/__init__.py
+++ b/src/heatherpier/pooling/__init__.py
@@ -13,7 +13,7 @@
     RollBack,
 )
 from heatherpier.pooling._connection import InstanceConnection, SessionNeeds, shape_name
-from heatherpier.pooling._interface import InstanceConnector, InstanceLink
+from heatherpier.pooling._interface import InstanceConnector, InstanceLink, Pool
 from heatherpier.pooling._limits import PoolLimits
 from heatherpier.pooling._metrics import WaiterMetrics
 from heatherpier.pooling._pool import ConnectionPool
@@ -40,6 +40,7 @@
     "ConnectionPool",
     "InstanceConnection",
     "OpenTransaction",
+    "Pool",
     "PoolLimits",
     "PrepareShape",
     "RollBack",
--- a/src/heatherpier/pooling/_idle.py
+++ b/src/heatherpier/pooling/_idle.py
@@ -13,10 +13,6 @@
 # connection can stop answering for good.
 IDLE_CHECK_S = 1.0
 IDLE_CHECK_TIMEOUT_S = 0.25
-# A connection is closed after it was idle for this long, unless the pool has no other.
-# If all proxies lose power at once, the instance keeps counting their connections for
-# 3 s, and what it accepts beyond these is all that the proxies have after their start.
-IDLE_LIMIT_S = 2.0
 
 
 class IdleConnections(list[InstanceConnection]):
@@ -61,13 +57,14 @@
         self.clear()
         return count
 
-    def close_unused(self, *, at_most: int) -> int:
-        """Closes connections that were idle for `IDLE_LIMIT_S`; returns their number.
+    def close_unused(self, *, idle_s: float, at_most: int) -> int:
+        """Closes connections that were idle for long; returns their number.
 
         Args:
+            idle_s: Time in seconds for which they were idle.
             at_most: Maximum number of connections that are closed.
         """
-        idle_since = self._timers.now() - IDLE_LIMIT_S
+        idle_since = self._timers.now() - idle_s
         unused = [conn for conn in self if conn.used_at <= idle_since]
         for conn in unused[:at_most]:
             self.remove(conn)
--- a/src/heatherpier/pooling/_pool.py
+++ b/src/heatherpier/pooling/_pool.py
@@ -7,7 +7,7 @@
 from heatherpier.pooling._calls import RollBack
 from heatherpier.pooling._connection import InstanceConnection
 from heatherpier.pooling._crowding import Crowding
-from heatherpier.pooling._idle import IDLE_LIMIT_S, IdleConnections, passes_check
+from heatherpier.pooling._idle import IdleConnections, passes_check
 from heatherpier.pooling._interface import InstanceConnector
 from heatherpier.pooling._limits import PoolLimits
 from heatherpier.pooling._uses import (
@@ -105,6 +105,11 @@
         """Number of connections that are acquired, idle or being opened."""
         return self._open
 
+    @property
+    def in_use(self) -> int:
+        """Number of connections that are acquired or being opened."""
+        return self._open - len(self._idle)
+
     @property
     def waiting(self) -> int:
         """Number of waiters without a connection."""
@@ -468,8 +473,11 @@
     async def _trim(self) -> None:
         """Closes connections that have become needless, while there are several."""
         while self._open > 1 and not self._closed:
-            await self._timers.sleep(IDLE_LIMIT_S)
-            self._open -= self._idle.close_unused(at_most=max(self._open - 1, 0))
+            idle_s = self.limits.idle_s
+            await self._timers.sleep(idle_s)
+            self._open -= self._idle.close_unused(
+                idle_s=idle_s, at_most=max(self._open - 1, 0)
+            )
         self._trimming = False
 
     def _note_closed(self) -> None:
--- a/src/heatherpier/pooling/tests/test_headroom.py
+++ b/src/heatherpier/pooling/tests/test_headroom.py
@@ -9,7 +9,7 @@
 import pytest
 
 from heatherpier.pooling import ConnectionPool, ConnectionShares
-from heatherpier.pooling._pool import IDLE_LIMIT_S
+from heatherpier.pooling._limits import IDLE_LIMIT_S
 from heatherpier.pooling.tests.test_pool import INSTANCE, Connector, use
 
 ACCEPTED = 22
