Forwarding: tests of failures, random faults and homes; non-homes close unused connections

Cause: a proxy that is no home kept the last idle connection of its own pool, and a transaction could not be finished at a home that is stopping. Ruled out: keeping one unused connection per instance at each proxy, which is what the instances have too few of. Change: proxies that are no home close unused connections each second; requests of an open transaction go to the home's process that holds it, without a new probe; the in-memory network delivers, delays and doubles forwarding messages independently of the sender's wait.

--- a/src/heatherpier/_proxy_engine.py
+++ b/src/heatherpier/_proxy_engine.py
@@ -487,13 +487,16 @@
         """Keeps a connection open to each instance that is likely to be used.
 
         These are the primaries and all instances of this VM's region, except those in
-        back-off or leaving.
+        back-off or leaving. Connections that only homes should hold are closed instead.
         """
         async for _ in self._timers.every(WARM_PERIOD_S):
-            if self._routes.table.organisations is not None:
-                # A connection opened ahead of use would belong to no organisation.
-                continue
             for record in self._registry.all():
+                if not self.forwarding.may_hold(record):
+                    self.context.pools.close_idle(record.name)
+                    continue
+                if self._routes.table.organisations is not None:
+                    # A connection opened ahead of use would belong to no organisation.
+                    continue
                 near = (
                     self._location.distance(record.instance.data_centre)
                     < OTHER_REGION_DISTANCE
@@ -502,8 +505,7 @@
                 avoided = (
                     self._health.in_backoff(record.name) or record.instance.leaving
                 )
-                may_warm = self.forwarding.may_warm(record)
-                if (near or primary) and not avoided and may_warm:
+                if (near or primary) and not avoided:
                     await self._warm_connection(record)
 
     async def _warm_connection(self, record: InstanceRecord) -> None:
--- a/src/heatherpier/bench/_memory_peers.py
+++ b/src/heatherpier/bench/_memory_peers.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import random
-from collections.abc import Awaitable
+from collections import Counter
+from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
 from heatherpier.fleet import (
@@ -12,6 +13,7 @@
     Peer,
     PeerNetwork,
     PeerUnreachableError,
+    message_kind,
 )
 from heatherpier.timers import Timers
 
@@ -29,14 +31,17 @@
         timers: Timer service.
         codec: Encodes each message, to count its bytes and check its type.
         rng: Chooses which messages are lost.
-        detached: Types of message whose handling goes on when the sender no longer
-            waits for the answer, as it does on a real network. The handling of others
-            ends then.
+        detached: Types of message that arrive and are handled also if the sender no
+            longer waits for the answer, as on a real network. Others end then.
 
     Attributes:
         loss_rate: Share of messages that are lost, from 0 to 1.
+        double_rate: Share of detached messages that arrive twice, from 0 to 1.
+        extra_delay_s: Maximum extra delay of detached messages, in seconds.
         message_count: Count of messages sent.
         byte_count: Size of all messages sent, in bytes.
+        kind_counts: Count of messages sent by their type on the wire.
+        on_frame: Called with the frame of each message that is sent.
         nodes: Networks of the proxies by host and port.
         ended_addresses: Host and port of proxies whose process has ended while their
             VM still runs and refuses connections.
@@ -55,8 +60,13 @@
         self.detached = detached
         self.rng = rng
         self.loss_rate = 0.0
+        self.double_rate = 0.0
+        self.extra_delay_s = 0.0
+        self._tasks: set[asyncio.Task[Message | None]] = set()
         self.message_count = 0
         self.byte_count = 0
+        self.kind_counts: Counter[str] = Counter()
+        self.on_frame: Callable[[bytes], None] = lambda _: None
         self.nodes: dict[tuple[str, int], MemoryPeerNetwork] = {}
         self.ended_addresses: set[tuple[str, int]] = set()
         self._down: set[str] = set()
@@ -84,6 +94,28 @@
         """Undoes all cuts."""
         self._cuts.clear()
 
+    def start_exchange(
+        self, exchange: Coroutine[Any, Any, Message | None]
+    ) -> asyncio.Task[Message | None]:
+        """Starts an exchange that does not end with the sender's wait."""
+        task = asyncio.create_task(exchange)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    def close(self) -> None:
+        """Ends all exchanges."""
+        for task in self._tasks:
+            task.cancel()
+
+    def draw_copies(self) -> int:
+        """Returns how often a detached message arrives if it is not lost."""
+        return 2 if self.double_rate and self.rng.random() < self.double_rate else 1
+
+    def draw_extra_delay_s(self) -> float:
+        """Returns by how much a detached message is late, in seconds."""
+        return self.rng.uniform(0, self.extra_delay_s) if self.extra_delay_s else 0.0
+
     def draw_loss(self, sender: Peer, receiver: Peer) -> bool:
         """Returns whether a message between the two is lost, by fault or by chance."""
         data_centres = frozenset({sender.data_centre, receiver.data_centre})
@@ -106,6 +138,8 @@
         )
         self.message_count += 1
         self.byte_count += len(frame)
+        self.kind_counts[message_kind(message)] += 1
+        self.on_frame(frame)
         is_local = sender.data_centre == receiver.data_centre
         await self.timers.sleep(LOCAL_DELAY_S if is_local else REGION_DELAY_S)
         if self.draw_loss(sender, receiver):
@@ -122,10 +156,8 @@
         self._handlers: dict[type[Message], Handler[Any]] = {}
         self._tasks: set[asyncio.Future[Message | None]] = set()
 
-    async def handle_detached(
-        self, handling: Awaitable[Message | None]
-    ) -> Message | None:
-        """Handles a message, also if the sender no longer waits for the answer.
+    async def run_handler(self, handling: Awaitable[Message | None]) -> Message | None:
+        """Handles a message until the end of this process.
 
         Blocks until cancelled if the process ends meanwhile.
         """
@@ -166,6 +198,13 @@
         return (peer.host, peer.port) in self._fleet.ended_addresses
 
     async def _exchange(self, peer: Peer, message: Message) -> Message | None:
+        if isinstance(message, self._fleet.detached):
+            copies = {
+                self._fleet.start_exchange(self._exchange_detached(peer, message))
+                for _ in range(self._fleet.draw_copies())
+            }
+            done, _ = await asyncio.wait(copies, return_when=asyncio.FIRST_COMPLETED)
+            return done.pop().result()
         target = self._fleet.nodes.get((peer.host, peer.port))
         if target is None:
             await asyncio.Event().wait()
@@ -174,10 +213,24 @@
         handler = target._handlers.get(type(received))
         if handler is None:
             return None
-        if isinstance(received, self._fleet.detached):
-            answer = await target.handle_detached(handler(self.me.name, received))
-        else:
-            answer = await handler(self.me.name, received)
+        answer = await handler(self.me.name, received)
+        delivered: Message | None = await self._fleet.deliver(
+            target.me, self.me, answer
+        )
+        return delivered
+
+    async def _exchange_detached(self, peer: Peer, message: Message) -> Message | None:
+        await self._fleet.timers.sleep(self._fleet.draw_extra_delay_s())
+        received = await self._fleet.deliver(self.me, peer, message)
+        target = self._fleet.nodes.get((peer.host, peer.port))
+        if target is None:
+            await asyncio.Event().wait()
+            return None
+        handler = target._handlers.get(type(received))
+        if handler is None:
+            return None
+        answer = await target.run_handler(handler(self.me.name, received))
+        await self._fleet.timers.sleep(self._fleet.draw_extra_delay_s())
         delivered: Message | None = await self._fleet.deliver(
             target.me, self.me, answer
         )
--- a/src/heatherpier/bench/_simulated_deployment.py
+++ b/src/heatherpier/bench/_simulated_deployment.py
@@ -27,6 +27,7 @@
 from heatherpier.routing import (
     AnyCommit,
     BoundedStaleness,
+    CallerLimits,
     Consistency,
     Organisation,
     ReadOwnWrites,
@@ -129,6 +130,7 @@
     async def __aexit__(self, *exc_info: object) -> None:
         for name in list(self.engines):
             await self.kill(name)
+        self.fleet.close()
 
     def routes(self) -> dict[str, Consistency]:
         """Returns the consistency of each database; a service has one of each kind."""
@@ -150,6 +152,7 @@
         padding: str = "",
         organisations: tuple[Organisation, ...] | None = None,
         keys: dict[str, str] | None = None,
+        limits: CallerLimits | None = None,
     ) -> int:
         """Writes a new configuration to the store and returns its version.
 
@@ -159,6 +162,7 @@
             padding: Text that makes the row as large as that of many routes.
             organisations: The organisations, or None if callers are not identified.
             keys: Name of the organisation that holds each key.
+            limits: Limits on the connections of callers, or None for the defaults.
         """
         self._configuration_version += 1
         table = RoutingTable(
@@ -186,6 +190,7 @@
             if organisations is None
             else {item.name: item for item in organisations},
             keys=keys or {},
+            limits=limits or CallerLimits(),
         )
         body = f"configuration {self._configuration_version}{padding}".encode()
         self._routing_tables[body] = table
--- a/src/heatherpier/fleet/__init__.py
+++ b/src/heatherpier/fleet/__init__.py
@@ -4,7 +4,7 @@
 from heatherpier.fleet._interface import Handler, Peer, PeerNetwork
 from heatherpier.fleet._members import Member, MemberState, MemberTable
 from heatherpier.fleet._membership import MEMBERSHIP_MESSAGES, Membership
-from heatherpier.fleet._messages import Codec, Message, PeerRecord
+from heatherpier.fleet._messages import Codec, Message, PeerRecord, message_kind
 from heatherpier.fleet._zmq import CurveKeys, ZmqPeers
 
 __all__ = [
@@ -23,4 +23,5 @@
     "PeerUnreachableError",
     "MemberState",
     "ZmqPeers",
+    "message_kind",
 ]
--- a/src/heatherpier/forwarding/_forwarding.py
+++ b/src/heatherpier/forwarding/_forwarding.py
@@ -122,8 +122,8 @@
             return None
         return self.directory.limits(record)
 
-    def may_warm(self, record: InstanceRecord) -> bool:
-        """Returns whether connections to an instance may be opened ahead of use."""
+    def may_hold(self, record: InstanceRecord) -> bool:
+        """Returns whether this proxy may hold unused connections to an instance."""
         if not self.directory.active(record.service):
             return True
         return self.directory.is_home(record)
--- a/src/heatherpier/forwarding/_link.py
+++ b/src/heatherpier/forwarding/_link.py
@@ -106,6 +106,7 @@
         self._step = 0
         self._primary = True
         self._pinned_at: MemberRecord | None = None
+        self._home_incarnation = 0
         self._request: asyncio.Task[ForwardAnswer] | None = None
         self._request_failed = False
         self._closed = False
@@ -148,11 +149,12 @@
             PathLostError: No answer came; the request may have run.
         """
         context = self._context
-        incarnation = await context.monitor.incarnation(home)
+        if self._pinned_at is None:
+            self._home_incarnation = await context.monitor.incarnation(home)
         now = context.timers.now()
         left_s = max(self.answer_by - now, 0.0)
         self._step += 1
-        req = self._make_request(calls, home=incarnation, now=now, left_s=left_s)
+        req = self._make_request(calls, now=now, left_s=left_s)
         self.asked = home
         self._request_failed = False
         self._request = asyncio.ensure_future(
@@ -191,7 +193,7 @@
         return answer
 
     def _make_request(
-        self, calls: Sequence[Call], *, home: int, now: float, left_s: float
+        self, calls: Sequence[Call], *, now: float, left_s: float
     ) -> ForwardRequest:
         record, needs = self._record, self.needs
         if self._pinned_at is None:
@@ -203,7 +205,7 @@
             link=self._number,
             step=self._step,
             incarnation=self._context.incarnation,
-            home=home,
+            home=self._home_incarnation,
             instance=record.name,
             started_ms=record.started_ms,
             service=record.service,
--- /dev/null
+++ b/src/heatherpier/forwarding/tests/test_failures.py
@@ -0,0 +1,172 @@
+"""What happens when a home, a sender, an instance or a message fails."""
+
+import asyncio
+
+import pytest
+
+from heatherpier.bench import ask
+from heatherpier.bench._simulated_deployment import query
+from heatherpier.forwarding import ForwardRequest, _queue
+from heatherpier.statements import Code, Done
+
+
+async def test_home_that_dies_leaves_the_outcome_unknown(clubs, timers):
+    """Guards against "not run" for a write that the home may have run."""
+    home, other = clubs.homes()
+    await clubs.write()
+    writing = asyncio.create_task(clubs.write())
+    await timers.sleep(0.016)
+    assert len(clubs.ran("WRITE a")) == 2
+    await clubs.power_off(home)
+    assert (await writing).code is Code.OUTCOME_UNKNOWN
+    assert not clubs.sender.context.health.in_backoff(clubs.primary.name)
+    began = timers.now()
+    assert isinstance(await clubs.write(), Done)
+    assert timers.now() - began < 0.1
+    assert clubs.primary.name in clubs.direct_connections(other)
+
+
+async def test_transaction_aborts_when_its_home_dies(clubs):
+    session = clubs.session()
+    for text in ("BEGIN", "WRITE a"):
+        await ask(session, text)
+    await clubs.power_off(clubs.homes()[0])
+    assert (await ask(session, "WRITE b")).outcome.code is Code.ABORTED
+
+
+async def test_silent_home_is_avoided_and_used_again(clubs, timers):
+    home, _ = clubs.homes()
+    await clubs.write()
+    clubs.fleet.stop(home)
+    await clubs.write()
+    directory = clubs.sender.forwarding.directory
+    assert directory.choose(clubs.primary.record, "club").name != home
+    clubs.fleet.start(home)
+    await timers.sleep(4.0)
+    assert directory.choose(clubs.primary.record, "club").name == home
+
+
+async def test_home_that_does_not_know_the_instance_refuses(clubs):
+    home, other = clubs.homes()
+    clubs.engines[home].context.registry._records.pop(clubs.primary.name)
+    assert isinstance(await clubs.write(), Done)
+    assert clubs.primary.name in clubs.direct_connections(other)
+
+
+async def test_home_without_a_lease_refuses(clubs, monkeypatch):
+    """Guards against a write on a primary that a change has replaced for the home."""
+    home, other = clubs.homes()
+    clubs.engines[home].context.leases.note_registered(-1)
+    await clubs.write()
+    assert clubs.primary.name not in clubs.direct_connections(home)
+    assert clubs.primary.name in clubs.direct_connections(other)
+
+
+async def test_restart_of_the_sender_ends_its_transactions(clubs, timers):
+    session = clubs.session()
+    for text in ("BEGIN", "WRITE a"):
+        await ask(session, text)
+    pins = clubs.server(clubs.homes()[0])._pins._pins
+    assert len(pins) == 1
+    await clubs.kill("proxy-1")
+    await clubs.start("proxy-1")
+    await timers.sleep(1.0)
+    assert isinstance(await clubs.write(), Done)
+    assert len(pins) == 0
+
+
+async def test_transaction_of_a_lost_sender_ends_at_the_idle_limit(clubs, timers):
+    session = clubs.session()
+    for text in ("BEGIN", "WRITE a"):
+        await ask(session, text)
+    pins = clubs.server(clubs.homes()[0])._pins._pins
+    clubs.fleet.stop("proxy-1")
+    await timers.sleep(2.5)
+    assert len(pins) == 1
+    await timers.sleep(1.5)
+    assert len(pins) == 0
+
+
+async def test_stopping_home_refuses_new_work_and_finishes_the_open(clubs):
+    home, other = clubs.homes()
+    session = clubs.session()
+    for text in ("BEGIN", "WRITE a"):
+        await ask(session, text)
+    clubs.engines[home].forwarding.stop()
+    assert isinstance(await clubs.write(), Done)
+    assert clubs.primary.name in clubs.direct_connections(other)
+    assert isinstance((await ask(session, "COMMIT")).outcome, Done)
+
+
+async def test_home_with_a_full_queue_passes_requests_to_the_next(clubs, monkeypatch):
+    home, other = clubs.homes()
+    monkeypatch.setattr(clubs.server(home)._waiting, "has_room", lambda sender: False)
+    assert isinstance(await clubs.write(), Done)
+    assert clubs.primary.name in clubs.direct_connections(other)
+
+
+async def test_full_queues_refuse_at_once_with_a_time(clubs, timers, monkeypatch):
+    """Guards against a statement that waits for homes that have no room."""
+    monkeypatch.setattr(_queue, "MAX_WAITING_PER_SENDER", 0)
+    began = timers.now()
+    refused = await clubs.write()
+    assert refused.code is Code.OVERLOADED
+    assert refused.retry_after_ms
+    assert timers.now() - began < 0.1
+    assert clubs.primary.executed == []
+
+
+async def test_direct_path_has_a_small_reserve(clubs, timers):
+    for home in clubs.homes():
+        clubs.fleet.stop(home)
+    await clubs.write()
+    await timers.sleep(1.0)
+    outcomes = await asyncio.gather(*(clubs.write() for _ in range(8)))
+    assert all(isinstance(outcome, Done) for outcome in outcomes)
+    pool = clubs.sender.context.pools.direct(clubs.primary.record)
+    assert 1 <= pool.open_connections <= 2
+
+
+async def test_home_reaches_an_instance_that_the_sender_does_not(clubs):
+    clubs.primary.cut_from.add("proxy-1")
+    assert isinstance(await clubs.write(), Done)
+
+
+async def test_peer_of_an_older_build_is_passed_over(clubs):
+    """Guards against requests to peers that do not know the messages."""
+    home, other = clubs.homes()
+    clubs.fleet.nodes[(home, 7000)]._handlers.clear()
+    assert isinstance(await clubs.write(), Done)
+    assert clubs.primary.name in clubs.direct_connections(other)
+
+
+@pytest.mark.parametrize("restarts", [False, True])
+async def test_second_copy_of_a_request_runs_nothing(clubs, timers, restarts):
+    """Guards against a write that runs again at the home or at its next process."""
+    home, _ = clubs.homes()
+    frames = []
+    clubs.fleet.on_frame = frames.append
+    await clubs.write()
+    sent = [clubs.fleet.codec.decode(frame)[1] for frame in frames]
+    req = next(item for item in sent if isinstance(item, ForwardRequest))
+    if restarts:
+        await clubs.kill(home)
+        await timers.sleep(0.01)
+        await clubs.start(home)
+        await timers.sleep(1.0)
+    answer = await clubs.server(home)._on_request("proxy-1", req)
+    assert answer.lost
+    assert len(clubs.ran("WRITE a")) == 1
+
+
+async def test_late_answer_leaves_the_connection_of_the_home_usable(clubs, timers):
+    """Guards against connections that are closed because an answer was late."""
+    await clubs.write()
+    home = clubs.homes()[0]
+    opened = clubs.direct_connections(home)
+    clubs.primary.unresponsive = True
+    statement = asyncio.create_task(clubs.session().execute(query("READ late")))
+    await timers.sleep(0.05)
+    clubs.primary.unresponsive = False
+    await statement
+    assert clubs.direct_connections(home) == opened
--- a/src/heatherpier/pooling/_pools.py
+++ b/src/heatherpier/pooling/_pools.py
@@ -77,6 +77,12 @@
             if pool.scarce:
                 pool.close_idle()
 
+    def close_idle(self, name: str) -> None:
+        """Closes the idle connections to an instance, if there are any."""
+        entry = self._pools.get(name)
+        if entry is not None:
+            entry[1].close_idle()
+
     def drop(self, name: str) -> None:
         """Closes the pool of a removed instance; does nothing if it has none."""
         entry = self._pools.pop(name, None)
