--- a/src/heatherpier/forwarding/tests/test_random_faults.py
+++ b/src/heatherpier/forwarding/tests/test_random_faults.py
@@ -12,7 +12,7 @@
 from heatherpier.forwarding import _link, _server
 from heatherpier.forwarding._receipts import Receipts
 from heatherpier.forwarding.tests._faulty_run import run_faulty
-from heatherpier.upstreams import ConnectError
+from heatherpier.upstreams import ConnectError, ConnectionLostError
 
 SEEDS = range(6)
 
@@ -46,7 +46,15 @@
 async def test_a_sender_that_takes_a_time_out_as_not_run_is_detected(
     timers, monkeypatch
 ):
-    monkeypatch.setattr(_link, "PathLostError", ConnectError)
+    run = _link.RemoteConnection.run
+
+    async def run_or_refuse(self, calls, **limits):
+        try:
+            return await run(self, calls, **limits)
+        except ConnectionLostError as exc:
+            raise ConnectError(str(exc)) from exc
+
+    monkeypatch.setattr(_link.RemoteConnection, "run", run_or_refuse)
     await expect_detection(timers, "twice", "false not run")
 
 
