--- a/src/heatherpier/bench/_simulated_deployment.py
+++ b/src/heatherpier/bench/_simulated_deployment.py
@@ -28,6 +28,7 @@
 from heatherpier.routing import (
     AnyCommit,
     BoundedStaleness,
+    CallerLimits,
     Consistency,
     Organisation,
     ReadOwnWrites,
@@ -133,6 +134,7 @@
     async def __aexit__(self, *exc_info: object) -> None:
         for name in list(self.engines):
             await self.kill(name)
+        self.fleet.close()
 
     def routes(self) -> dict[str, Consistency]:
         """Returns the consistency of each database; a service has one of each kind."""
@@ -154,6 +156,7 @@
         padding: str = "",
         organisations: tuple[Organisation, ...] | None = None,
         keys: dict[str, str] | None = None,
+        limits: CallerLimits | None = None,
     ) -> int:
         """Writes a new configuration to the store and returns its version.
 
@@ -163,6 +166,7 @@
             padding: Text that makes the row as large as that of many routes.
             organisations: The organisations, or None if callers are not identified.
             keys: Name of the organisation that holds each key.
+            limits: Limits on the connections of callers, or None for the defaults.
         """
         self._configuration_version += 1
         table = RoutingTable(
@@ -190,6 +194,7 @@
             if organisations is None
             else {item.name: item for item in organisations},
             keys=keys or {},
+            limits=limits or CallerLimits(),
         )
         body = f"configuration {self._configuration_version}{padding}".encode()
         self._routing_tables[body] = table
