--- a/src/heatherpier/quotas/_buckets.py
+++ b/src/heatherpier/quotas/_buckets.py
@@ -148,7 +148,7 @@
         period = self._period
         period.demands[asker] = period.demands.get(asker, 0.0) + amount
         fair = self._fair_level(now)
-        allowed = min(amount, self._level, self._allowance(asker, fair))
+        allowed = min(amount, self._level, self._allowance(asker, fair, now))
         given = float(max(math.floor(allowed + EPSILON), 0))
         self._level = max(self._level - given, 0.0)
         period.given[asker] = period.given.get(asker, 0.0) + given
@@ -189,13 +189,16 @@
             self._reserved = sum(self._entitlement(name, share) for name in demands)
         return self._fair
 
-    def _allowance(self, asker: str, fair: float) -> float:
+    def _allowance(self, asker: str, fair: float, now: float) -> float:
         if fair == math.inf:
             return math.inf
         given = self._period.given.get(asker, 0.0)
         # A share of less than a right is not set aside: the first that ask get one.
         reserved = self._reserved - self._entitlement(asker, math.floor(fair))
-        return max(math.ceil(fair) - given, self._level - max(reserved, 0.0))
+        # What is created until the end of the period serves the others.
+        left_s = max(self._period.began + SHARE_PERIOD_S - now, 0.0)
+        created = self._rate.per_s / ALLOCATORS * left_s
+        return max(math.ceil(fair) - given, self._level + created - max(reserved, 0.0))
 
     def _entitlement(self, asker: str, share: float) -> float:
         period = self._period
@@ -224,6 +227,18 @@
         self._buckets.clear()
         self._empty_at = now
 
+    def update_rates(self, now: float) -> None:
+        """Applies the rate limits of a new configuration from now on.
+
+        Without this call a new limit applies from the next request.
+        """
+        for organisation, bucket in list(self._buckets.items()):
+            rate = self._rate_of(organisation)
+            if rate is None:
+                del self._buckets[organisation]
+            else:
+                bucket.set_rate(rate, now)
+
     def give(self, organisation: str, asker: str, amount: float, now: float) -> Gift:
         """Gives rights of an organisation to a proxy.
 
--- a/src/heatherpier/quotas/_gate.py
+++ b/src/heatherpier/quotas/_gate.py
@@ -86,8 +86,10 @@
         self._demands: dict[str, _Demand] = {}
         self._allocators: dict[str, Peer] = {}
         self._watch: asyncio.Task[None] | None = None
+        self._version = 0
+        self._buckets = Buckets(self.rate)
         self._issuer = RightsIssuer(
-            me.name, rows=rows, buckets=Buckets(self.rate), timers=timers
+            me.name, rows=rows, buckets=self._buckets, timers=timers
         )
         self._links = AllocatorLinks(
             network=network, on_answer=self._take_answer, timers=timers, metrics=metrics
@@ -114,6 +116,9 @@
             if not self.in_use:
                 continue
             self._issuer.update()
+            if self._version != self._routes.table.version:
+                self._version = self._routes.table.version
+                self._buckets.update_rates(self._timers.elapsed())
             self._allocators = {
                 peer.name: peer
                 for peer in peers_to_ask(
