--- a/src/heatherpier/limits/_fair_queue.py
+++ b/src/heatherpier/limits/_fair_queue.py
@@ -16,13 +16,16 @@
 MAX_ENTRIES = 256
 # An entry is preferred for its organisation only if fewer organisations than this are
 # before it in fair order.
-PREFERRED_AMONG = 4
-# Time for which an entry may be overtaken by preferred ones: a tenth of the shortest
+PREFERRED_AMONG = 8
+# Time for which an entry may be overtaken by preferred ones: a fifth of the shortest
 # objective (503 ms).
-MAX_OVERTAKEN_S = 0.05
+MAX_OVERTAKEN_S = 0.1
 # The estimate assumes that higher priorities use at most this fraction of the rate,
 # and so stays finite.
 MAX_HIGHER_LOAD = 15 / 16
+# Refused callers are told to return within this time at the latest, unless the queue
+# itself is longer: the shortest deadline is 3 s, after which an answer has no use.
+MAX_RETURN_S = 2.0
 
 E = TypeVar("E", bound=QueueEntry)
 
@@ -67,6 +70,9 @@
         self._rate = ServiceRate(rate)
         self._arrivals: dict[int, Rate] = {}
         self._count = 0
+        # Monotonic time in seconds at which the work of all refused callers could be
+        # done, if only theirs were.
+        self._returned_at = 0.0
         self._sequence = itertools.count()
 
     def __len__(self) -> int:
@@ -201,6 +207,24 @@
                     )
         return cost_s / self._rate_beside(now, below=entry.priority)
 
+    def book_return_s(self, entry: E, now: float) -> float:
+        """Returns after how long the caller of a refused entry should return.
+
+        Refused callers are served one after the other at the measured rate, so each is
+        told to return when the work of those refused before it could be done.
+
+        Args:
+            entry: The refused entry, which is not in the queue.
+            now: The present time.
+
+        Returns:
+            Time in seconds, not before the turn of a new entry.
+        """
+        returned_at = max(self._returned_at, now)
+        self._returned_at = returned_at + entry.cost_s / self._rate.value(now)
+        booked_s = min(self._returned_at - now, MAX_RETURN_S)
+        return max(self.turn_s(entry, now), booked_s)
+
     def expected_wait_s(self, entry: E, now: float) -> float:
         """Returns how long a new entry would wait, in seconds, at the measured rate.
 
--- a/src/heatherpier/limits/_service_rate.py
+++ b/src/heatherpier/limits/_service_rate.py
@@ -6,8 +6,9 @@
 # (55 ms), and follows a pause of the instance within a second.
 RATE_WINDOW_S = 1.0
 # The expected rate counts like a measurement over this time. Until more was measured
-# it decides, and a queue that stands still keeps 1/6 of its expected rate.
-PRIOR_S = 0.2
+# it decides, and a queue that stands still keeps 1/21 of its expected rate. With 0.2 s,
+# a queue that was served at a quarter of what was expected promised half of its wait.
+PRIOR_S = 0.05
 
 
 class ServiceRate:
--- a/src/heatherpier/pooling/_pool.py
+++ b/src/heatherpier/pooling/_pool.py
@@ -296,7 +296,8 @@
         """Refuses waiters as soon as they have no chance, while there are any."""
         while self._waiters.present and not self._closed:
             await self._timers.sleep(SHED_PERIOD_S)
-            self._waiters.shed()
+            if self._open:
+                self._waiters.shed()
         self._shedding = False
 
     def _back_off(self, reason: str) -> None:
--- a/src/heatherpier/pooling/_waiters.py
+++ b/src/heatherpier/pooling/_waiters.py
@@ -149,7 +149,9 @@
         now = self._timers.now()
         self._fair.expect_rate(max(connections, 1))
         wait_s = self._fair.expected_wait_s(waiter, now)
-        if now + wait_s >= waiter.deadline:
+        # Without a connection the measured rate is that of a full instance, which
+        # accepts connections again within seconds.
+        if connections and now + wait_s >= waiter.deadline:
             raise self.refusal(waiter, "no chance", wait_s)
         rejected = self._fair.push(waiter, now)
         if rejected is None:
@@ -210,7 +212,7 @@
         """
         assert self._order is not None
         # A caller that returns is served like a new one, before those that are late.
-        return_s = min(self._fair.turn_s(waiter, self._timers.now()), wait_s)
+        return_s = self._fair.book_return_s(waiter, self._timers.now())
         return_s *= 1 + RETRY_SPREAD * self._order.rng.random()
         retry_after_ms = max(
             int(return_s * MS_PER_S),
