Order of waiters: load tests, bench order, whole proxies

Cause: six kinds of load had no test: a hot organisation, a hot key, a burst of long reads, the return after a loss of power, a failing instance, VMs of unequal size. Change: the loads run on real pools of one simulated instance under virtual time, in tests and in `heatherpier bench order`; the latest start of an entry is computed once. The bound on overtaking was not covered; its test is stricter now.

--- a/src/heatherpier/_cli.py
+++ b/src/heatherpier/_cli.py
@@ -15,6 +15,7 @@
   heatherpier bench writes
   heatherpier bench reads [--deployment=NAME] [--proxies=N] [--seed=N]
   heatherpier bench overload [--proxies=N] [--seed=N]
+  heatherpier bench order [--seed=N]
   heatherpier bench failover
   heatherpier bench load [--deployment=NAME] [--proxies=N] [--rate=N] [--seconds=N]
                          [--seed=N]
--- a/src/heatherpier/bench/_commands.py
+++ b/src/heatherpier/bench/_commands.py
@@ -15,6 +15,7 @@
 from heatherpier.bench._faults import run_faults
 from heatherpier.bench._instance_server import run_instance
 from heatherpier.bench._load_run import run_load
+from heatherpier.bench._order import order_report
 from heatherpier.bench._overload import run_overload
 from heatherpier.bench._platform_server import run_platform
 from heatherpier.bench._read_share import READ_MIXES, run_reads
@@ -65,6 +66,11 @@
     return EXIT_OK
 
 
+def _run_order(args: Mapping[str, Any]) -> int:
+    print(json.dumps(order_report(seed=_seed(args)), indent=1))
+    return EXIT_OK
+
+
 def _run_restart(args: Mapping[str, Any]) -> int:
     return _run_demo(args, plan=RollingRestart())
 
@@ -168,6 +174,7 @@
     "faults": _run_faults,
     "instance": _run_instance_process,
     "load": _run_load,
+    "order": _run_order,
     "overload": _run_overload,
     "platform": _run_platform_process,
     "reads": _run_reads,
--- a/src/heatherpier/bench/_order_run.py
+++ b/src/heatherpier/bench/_order_run.py
@@ -84,6 +84,11 @@
                 total.late += outcome.late
         return total
 
+    def on_time_share(self, name: str) -> float:
+        """Returns the share of a class's statements answered within the objective."""
+        outcome = self.of_class(name)
+        return outcome.on_time / max(outcome.asked, 1)
+
     def late_share(self, name: str) -> float:
         """Returns the share of late answers among the answers of a class."""
         outcome = self.of_class(name)
--- a/src/heatherpier/limits/_class_queue.py
+++ b/src/heatherpier/limits/_class_queue.py
@@ -26,6 +26,8 @@
         overtaken_since: Monotonic time in seconds since which entries behind it in
             fair order were preferred, or None.
         sequence: Rank in the order of arrival, set by the queue.
+        start_by: Monotonic time in seconds by which it has to start to meet its
+            objective.
     """
 
     organisation: str
@@ -37,11 +39,10 @@
     cost_s: float
     overtaken_since: float | None = None
     sequence: int = 0
+    start_by: float = field(init=False)
 
-    @property
-    def start_by(self) -> float:
-        """Monotonic time in seconds by which it has to start to meet its objective."""
-        return self.objective_at - self.cost_s * COST_MARGIN
+    def __post_init__(self) -> None:
+        self.start_by = self.objective_at - self.cost_s * COST_MARGIN
 
 
 E = TypeVar("E", bound=QueueEntry)
@@ -131,7 +132,8 @@
         on_time: Backlog[E] | None = None
         late: Backlog[E] | None = None
         for backlog in self._backlogs.values():
-            backlog.update(now)
+            if backlog.on_time and backlog.on_time[0].start_by < now:
+                backlog.update(now)
             # A tie goes to the organisation that began to wait first.
             if backlog.on_time and (on_time is None or backlog.start < on_time.start):
                 on_time = backlog
--- a/src/heatherpier/limits/_fair_queue.py
+++ b/src/heatherpier/limits/_fair_queue.py
@@ -20,9 +20,10 @@
 # Time for which an entry may be overtaken by preferred ones: a fifth of the shortest
 # objective (503 ms).
 MAX_OVERTAKEN_S = 0.1
-# The estimate assumes that higher priorities use at most this fraction of the rate,
-# and so stays finite.
-MAX_HIGHER_LOAD = 15 / 16
+# The estimate assumes that arrivals that go first use at most this fraction of the rate:
+# a burst seems to exceed it, but ends. At 15/16, more is refused that could be served;
+# at 1/2, waiters without a chance are held and the full queue rejects short work.
+MAX_HIGHER_LOAD = 3 / 4
 # Refused callers are told to return within this time at the latest, unless the queue
 # itself is longer: the shortest deadline is 3 s, after which an answer has no use.
 MAX_RETURN_S = 2.0
--- a/src/heatherpier/limits/tests/test_fair_queue.py
+++ b/src/heatherpier/limits/tests/test_fair_queue.py
@@ -129,30 +129,23 @@
 
 
 @given(
-    st.lists(
-        st.tuples(st.sampled_from("abcdefgh"), st.floats(0.0, 0.01)),
-        min_size=20,
-        max_size=100,
-    )
+    st.text("bcdefg", min_size=1, max_size=20),
+    st.lists(st.floats(0.0, 0.05), min_size=30, max_size=30),
 )
-def test_nobody_is_overtaken_for_longer_than_stated(arrivals):
+def test_nobody_is_overtaken_for_longer_than_stated(others, steps_s):
+    # An organisation whose connections are freed again and again would else keep all
+    # others waiting.
     queue = FairQueue()
     now = 0.0
-    for organisation, _ in arrivals:
+    for organisation in [*others, *"a" * len(steps_s)]:
         queue.push(make_entry(organisation=organisation, objective_at=100.0), now)
-    for _, step_s in arrivals:
-        overtaken = {entry for entry in queue if entry.overtaken_since is not None}
-        before = queue.overtakes
+    for step_s in steps_s:
+        overtakes = queue.overtakes
         queue.pop(now, "a")
-        if queue.overtakes > before:
-            left = [entry for entry in overtaken if entry in set(queue)]
-            ahead = [
-                entry
-                for entry in left
-                if now - entry.overtaken_since >= MAX_OVERTAKEN_S
-            ]
-            # Those that have been overtaken for long are not ahead of what was served.
-            assert not ahead or all(entry.organisation == "a" for entry in ahead)
+        if queue.overtakes > overtakes:
+            since = [entry.overtaken_since for entry in queue]
+            longest = max(now - at for at in since if at is not None)
+            assert longest < MAX_OVERTAKEN_S
         now += step_s
 
 
--- /dev/null
+++ b/src/heatherpier/serving/tests/test_fair_order.py
@@ -0,0 +1,37 @@
+"""Whole proxies order waiters fairly only where organisations are configured."""
+
+import asyncio
+
+from heatherpier.bench import ask
+from heatherpier.routing import Organisation
+from heatherpier.statements import Done
+
+APPLY_S = 5.0
+
+
+def pools(deployment):
+    engines = deployment.engines.values()
+    return [pool for engine in engines for pool in engine.context.pools.all()]
+
+
+async def test_without_organisations_the_order_is_as_before(deployment):
+    # Deployments of before must not change.
+    await ask(deployment.open("claims-exact"), "WRITE a")
+    assert pools(deployment)
+    assert not any(pool.fair for pool in pools(deployment))
+
+
+async def test_with_organisations_waiters_are_in_fair_order(deployment):
+    deployment.configure(
+        deployment.routes(),
+        organisations=(Organisation(name="north-club"),),
+        keys={"key-n": "north-club"},
+    )
+    await deployment.timers.sleep(APPLY_S)
+    sessions = [deployment.open("claims-exact", key="key-n") for _ in range(40)]
+    replies = await asyncio.gather(*(ask(item, "WRITE a") for item in sessions))
+    assert all(isinstance(reply.outcome, Done) for reply in replies)
+    assert all(pool.fair for pool in pools(deployment))
+    # Uses are told apart by class, so the reserve for short work can see them.
+    names = {name for pool in pools(deployment) for name in pool._meter._means_s}
+    assert names == {"AnyCommit write"}
