Balancing: reports of one home of several, and those that come with answers

Cause: a home states only its own part of an instance's load, and the deployments bring it with answers instead of all at once. Ruled out: asking all homes, which would add messages.

--- a/src/heatherpier/balancing/tests/test_stale_information.py
+++ b/src/heatherpier/balancing/tests/test_stale_information.py
@@ -44,6 +44,17 @@
     assert run_balancing(plan, Balanced).worst_over_mean() <= GOAL
 
 
+@pytest.mark.parametrize("choosers", [26, 144])
+@pytest.mark.parametrize("age_s", [1.0, None])
+def test_load_is_even_if_each_report_is_of_one_home(choosers, age_s):
+    """Guards against choices by the part of the load that one home sees.
+
+    Without an age, the load comes with answers only, as it does from homes.
+    """
+    plan = BalancingPlan(choosers=choosers, age_s=age_s, homes=4, **THREE)
+    assert run_balancing(plan, Balanced).worst_over_mean() <= GOAL
+
+
 @pytest.mark.parametrize("choosers", [26, 144])
 def test_an_instance_of_half_the_speed_gets_half_the_load(choosers):
     """Guards against equal shares, which overrun the slowest instance."""
--- a/src/heatherpier/bench/_balancing.py
+++ b/src/heatherpier/bench/_balancing.py
@@ -32,7 +32,10 @@
         instances: Number of instances.
         slots: Slots of each instance.
         work_s: Mean time for which a statement occupies a slot, in seconds.
-        age_s: Period in seconds at which all choosers learn the load; 0 for always.
+        age_s: Period in seconds at which all choosers learn the load; 0 for always,
+            None if a chooser learns it with each answer instead.
+        homes: Number of homes that share an instance's statements; a report is of
+            one of them.
         duration_s: Time over which statements arrive, in seconds.
         speeds: Speed of each instance at a time in seconds; 0 while it is lost.
         distance_s: Cost in seconds of the distance from a chooser to an instance.
@@ -44,7 +47,8 @@
     instances: int = 3
     slots: int = 6
     work_s: float = 0.03
-    age_s: float = 1.0
+    age_s: float | None = 1.0
+    homes: int = 1
     duration_s: float = 12.0
     speeds: Callable[[int, float], float] = lambda instance, now: 1.0
     distance_s: Callable[[int, int], float] = lambda chooser, instance: 0.0
@@ -159,6 +163,7 @@
         super().__init__(plan, index=index, rng=rng)
         self.estimates = LoadEstimates()
         self._names = [str(item) for item in range(plan.instances)]
+        self._homes = plan.homes
 
     def pick(self, present: list[int], now: float) -> int:
         """Returns the instance for a statement."""
@@ -173,7 +178,12 @@
     def learn(self, instance: int, load: int, now: float) -> None:
         """Learns the number of statements at an instance."""
         self.estimates.note_report(
-            self._names[instance], waiting=0, in_use=load, sent_at=now, now=now
+            self._names[instance],
+            waiting=0,
+            in_use=load,
+            sent_at=now,
+            now=now,
+            homes=self._homes,
         )
 
     def sent(self, instance: int, now: float) -> None:
@@ -253,9 +263,9 @@
             self._end_until(now)
             self._drop_lost(now)
             chooser = self._rng.choices(range(plan.choosers), weights)[0]
-            if not plan.age_s:
+            if plan.age_s == 0:
                 self._learn(self._choosers[chooser], now)
-            elif now - learned_at >= plan.age_s:
+            elif plan.age_s is not None and now - learned_at >= plan.age_s:
                 learned_at += plan.age_s
                 for item in self._choosers:
                     self._learn(item, now)
@@ -264,7 +274,14 @@
     def _learn(self, chooser: UnbalancedChooser, now: float) -> None:
         for index, instance in enumerate(self._instances):
             if self._plan.speeds(index, now):
-                chooser.learn(index, instance.load, now)
+                chooser.learn(index, self._reported(instance), now)
+
+    def _reported(self, instance: "_Instance") -> int:
+        """Returns the statements at one home of an instance."""
+        homes = self._plan.homes
+        if homes == 1:
+            return instance.load
+        return sum(self._rng.randrange(homes) == 0 for _ in range(instance.load))
 
     def _arrive(self, chooser: int, now: float) -> None:
         plan = self._plan
@@ -314,3 +331,5 @@
         statement = self._statements.pop(number)
         chooser = self._choosers[statement.chooser]
         chooser.settled(index, statement.sent_at, now, lost=lost)
+        if self._plan.age_s is None and not lost:
+            chooser.learn(index, self._reported(self._instances[index]), now)
--- a/src/heatherpier/bench/_balancing_report.py
+++ b/src/heatherpier/bench/_balancing_report.py
@@ -13,7 +13,9 @@
 )
 
 CHOOSERS = (26, 144)
-AGES_S = (0.0, 0.2, 0.5, 1.0, 2.0)
+# None: each answer brings the load of one of the homes.
+AGES_S = (0.0, 0.2, 0.5, 1.0, 2.0, None)
+HOMES = 4
 # Instances, slots and mean work in seconds.
 SHAPES = ((3, 6, 0.03), (12, 4, 0.015))
 POLICIES = (UnbalancedChooser, LeastReported, Balanced)
@@ -40,12 +42,14 @@
                     slots=slots,
                     work_s=work_s,
                     age_s=age_s,
+                    homes=HOMES if age_s is None else 1,
                     duration_s=DURATION_S,
                     seed=seed,
                 )
                 cells = [_cell(run_balancing(plan, policy)) for policy in POLICIES]
                 shape = f"{instances} x {slots}"
-                print(f"{choosers:8}  {shape:>17}  {age_s:5}  {'  '.join(cells)}")
+                age = "reply" if age_s is None else f"{age_s:5}"
+                print(f"{choosers:8}  {shape:>17}  {age}  {'  '.join(cells)}")
     print("processor time of a choice, in us")
     for instances, _, _ in SHAPES:
         before_us, after_us = (
