Config check: a proxy on the platform loads no models of documents

Answers after a loss of power are late for as long as the start takes. Ruled out: importing within functions, which hides the dependency.

--- a/src/heatherpier/_config_check_command.py
+++ b/src/heatherpier/_config_check_command.py
@@ -4,11 +4,11 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+from heatherpier._document_draft import draft_of_document
 from heatherpier._engine_ports import UnreadableRowError
 from heatherpier._platform_proxy import read_draft
 from heatherpier.config_check import (
     Draft,
-    draft_of_document,
     find_changes,
     find_faults,
     report_json,
--- a/src/heatherpier/config_check/_document.py
+++ b/src/heatherpier/_document_draft.py
@@ -1,6 +1,6 @@
 """Draft of a configuration document."""
 
-from heatherpier.config_check._draft import AgeLimit, Draft, RouteEntry, ServiceEntry
+from heatherpier.config_check import AgeLimit, Draft, RouteEntry, ServiceEntry
 from heatherpier.pooling import CONTROL_CONNECTIONS
 from heatherpier.settings import Document, GroupModel, ServiceModel
 
--- a/src/heatherpier/config_check/__init__.py
+++ b/src/heatherpier/config_check/__init__.py
@@ -1,7 +1,10 @@
-"""Checks a configuration before it takes effect and compares it with another one."""
+"""Checks a configuration before it takes effect and compares it with another one.
+
+Drafts are decoded outside: proxies on the users' platform load this package with the
+adapter, and would load the models of documents at each start.
+"""
 
 from heatherpier.config_check._changes import Change, find_changes
-from heatherpier.config_check._document import draft_of_document
 from heatherpier.config_check._draft import (
     AgeLimit,
     Draft,
@@ -20,7 +23,6 @@
     "KeyEntry",
     "RouteEntry",
     "ServiceEntry",
-    "draft_of_document",
     "find_changes",
     "find_faults",
     "report_json",
