Config check: not loaded by proxies

Cause: the adapter imported config_check, 8 modules and about 17 ms by -X importtime, at each start of a proxy. Ruled out: a second place that imports the adapter, which a test forbids. Measured: config_check is not among the modules of a start.

--- a/src/heatherpier/_platform_proxy.py
+++ b/src/heatherpier/_platform_proxy.py
@@ -12,13 +12,13 @@
 from contextlib import AsyncExitStack
 from dataclasses import fields
 from functools import partial
+from typing import TYPE_CHECKING
 
 from prometheus_client import Counter
 
 from heatherpier import __version__
 from heatherpier._engine_ports import Ports, StoreLayout, UnreadableRowError, VmLocation
 from heatherpier._proxy_engine import ProxyEngine
-from heatherpier.config_check import Draft
 from heatherpier.discovery import InstanceRecord
 from heatherpier.fleet import Codec, Peer, ZmqPeers
 from heatherpier.leases import LEASE_MESSAGES
@@ -35,7 +35,6 @@
     StoreClient,
     VmSettings,
     decode_config,
-    decode_draft,
     decode_instance,
 )
 from heatherpier.routing import RoutingTable
@@ -48,6 +47,9 @@
 )
 from heatherpier.timers import LoopTimers
 
+if TYPE_CHECKING:
+    from heatherpier.config_check import Draft
+
 log = get_logger("proxy")
 # Time for which new callers wait for a starting proxy to read the tables. A
 # caller gives up a session that is not opened within 2 s.
@@ -79,12 +81,15 @@
         raise UnreadableRowError(str(exc)) from exc
 
 
-def read_draft(body: bytes) -> Draft:
+def read_draft(body: bytes) -> "Draft":
     """Decodes a configuration as it is written, to check it.
 
     Raises:
         UnreadableRowError: It can't be decoded.
     """
+    # Imported here so that a proxy does not load it at its start.
+    from heatherpier.platform.drafts import decode_draft
+
     try:
         return decode_draft(body)
     except MalformedRecordError as exc:
--- a/src/heatherpier/config_check/__init__.py
+++ b/src/heatherpier/config_check/__init__.py
@@ -1,8 +1,4 @@
-"""Checks a configuration before it takes effect and compares it with another one.
-
-Drafts are decoded outside: proxies on the users' platform load this package with the
-adapter, and would load the models of documents at each start.
-"""
+"""Checks a configuration before it takes effect and compares it with another one."""
 
 from heatherpier.config_check._changes import Change, find_changes
 from heatherpier.config_check._draft import (
--- a/src/heatherpier/platform/__init__.py
+++ b/src/heatherpier/platform/__init__.py
@@ -6,7 +6,6 @@
 from heatherpier.platform._clients import LineListener
 from heatherpier.platform._config import CONFIG_KEY, CONFIG_TABLE, decode_config
 from heatherpier.platform._control import LineControl
-from heatherpier.platform._draft import decode_draft
 from heatherpier.platform._errors import (
     MalformedLineError,
     MalformedRecordError,
@@ -34,7 +33,6 @@
     "StoreClient",
     "VmSettings",
     "decode_config",
-    "decode_draft",
     "decode_instance",
     "load_vm_settings",
 ]
--- a/src/heatherpier/tests/test_serve_imports.py
+++ b/src/heatherpier/tests/test_serve_imports.py
@@ -4,7 +4,13 @@
 import sys
 
 # After a loss of power, answers are late for as long as the processes start.
-NEEDLESS = ("pydantic", "mysql_mimic", "sqlglot", "heatherpier.settings")
+NEEDLESS = (
+    "pydantic",
+    "mysql_mimic",
+    "sqlglot",
+    "heatherpier.settings",
+    "heatherpier.config_check",
+)
 
 
 def test_start_loads_nothing_of_documents_or_the_mysql_protocol():
