Balancing: a replica of the region goes before a nearer primary

Cause: another data centre of the region and the role of the primary both cost 5 ms, so that a primary got half of the reads of its data centre beside a replica 1.4 ms away. Ruled out: a higher cost of the primary, which would also send reads to other regions. Change: another data centre of the region costs 3 ms, just above the round trip. Measured: the new test fails with 5 ms (about half of the choices are the primary).

--- a/src/heatherpier/serving/_replica_selector.py
+++ b/src/heatherpier/serving/_replica_selector.py
@@ -16,8 +16,9 @@
 # expensive, and this wait is a tenth of the tightest latency objective.
 DISTANCE_COST_S = 0.04
 # The same where reads are balanced. A round trip between data centres of a region takes
-# at most 2.8 ms, so the load decides there; to other regions nothing changes.
-BALANCED_DISTANCE_COSTS_S = (0.0, 0.005, 2 * DISTANCE_COST_S)
+# at most 2.8 ms, so the load decides there, and a replica is better than a primary
+# that is nearer; to other regions nothing changes.
+BALANCED_DISTANCE_COSTS_S = (0.0, 0.003, 2 * DISTANCE_COST_S)
 # Cost of a primary, which keeps its slots free for statements that only it can serve.
 PRIMARY_COST_S = 0.005
 # Cost of an instance that fails or is no longer listed; it ranks after healthy ones.
--- a/src/heatherpier/serving/tests/test_balanced_reads.py
+++ b/src/heatherpier/serving/tests/test_balanced_reads.py
@@ -146,6 +146,16 @@
     assert setup.firsts(primary="own-2") == {"own-2": 1.0}
 
 
+async def test_replica_of_the_region_is_preferred_to_a_nearer_primary(setup):
+    """Guards against a primary that serves the reads of its data centre."""
+    setup.add("own-1")
+    setup.add("next-1")
+    setup.add("far-1")
+    assert setup.firsts(primary="own-1") == {"next-1": 1.0}
+    assert setup.rank(primary="next-1") == ["own-1", "next-1", "far-1"]
+    assert setup.rank(primary="far-1")[-1] == "far-1"
+
+
 async def test_failing_and_leaving_instances_rank_last(setup, timers):
     """Guards against an unloaded instance that does not serve."""
     setup.add("own-1")
