--- a/src/heatherpier/config_check/__init__.py
+++ b/src/heatherpier/config_check/__init__.py
@@ -1,7 +1,6 @@
 """Checks a configuration before it takes effect and compares it with another one."""
 
 from heatherpier.config_check._changes import Change, find_changes
-from heatherpier.config_check._document import draft_of_document
 from heatherpier.config_check._draft import (
     AgeLimit,
     Draft,
@@ -20,7 +19,6 @@
     "KeyEntry",
     "RouteEntry",
     "ServiceEntry",
-    "draft_of_document",
     "find_changes",
     "find_faults",
     "report_json",
