Quotas: allocators may create rights after 12 s, and for 12 s without the store

Ruled out: a shorter wait at the first start only; a proxy that starts again in that time could not tell. Change: the maximum age of an allocator's view is 12 s, removed members count as present for 16 s.

--- a/src/heatherpier/quotas/_allocators.py
+++ b/src/heatherpier/quotas/_allocators.py
@@ -13,10 +13,10 @@
 ALLOCATORS = 5
 # Maximum age of an allocator's copy of the members' table, and minimum time for which
 # its own row has stood.
-MAX_VIEW_AGE_S = 20.0
+MAX_VIEW_AGE_S = 12.0
 # Time for which a removed member counts as present. It exceeds `MAX_VIEW_AGE_S`, for
 # which the member may still create rights, by the delay of slow clocks.
-REMOVED_RETENTION_S = 25.0
+REMOVED_RETENTION_S = 16.0
 # Validity of a right, from the sending of the request for it. A process creates no
 # rights for this time after its start: those of its previous incarnation expire in it.
 RIGHT_VALIDITY_S = 0.5
