--- a/src/heatherpier/_cli.py
+++ b/src/heatherpier/_cli.py
@@ -22,6 +22,7 @@
   heatherpier bench cost
   heatherpier bench control [--deployment=NAME] [--proxies=N] [--seconds=N]
   heatherpier bench scale [--nodes=N] [--seed=N]
+  heatherpier bench forwarding [--seed=N]
   heatherpier version
   heatherpier (-h | --help)
 
--- a/src/heatherpier/bench/_commands.py
+++ b/src/heatherpier/bench/_commands.py
@@ -13,6 +13,7 @@
 from heatherpier.bench._deployment import DEPLOYMENTS, Deployment
 from heatherpier.bench._failover_report import print_failover
 from heatherpier.bench._faults import run_faults
+from heatherpier.bench._forwarding_cost import measure_forwarding_cost
 from heatherpier.bench._instance_server import run_instance
 from heatherpier.bench._load_run import run_load
 from heatherpier.bench._overload import run_overload
@@ -87,6 +88,12 @@
     return EXIT_OK
 
 
+def _run_forwarding(args: Mapping[str, Any]) -> int:
+    cost = measure_forwarding_cost(seed=_seed(args))
+    print(json.dumps(cost.as_dict(), indent=1))
+    return EXIT_OK
+
+
 def _run_reads(args: Mapping[str, Any]) -> int:
     name = args["--deployment"]
     if name not in READ_MIXES:
@@ -166,6 +173,7 @@
     "demo": _run_demo,
     "failover": _run_failover,
     "faults": _run_faults,
+    "forwarding": _run_forwarding,
     "instance": _run_instance_process,
     "load": _run_load,
     "overload": _run_overload,
