--- a/src/heatherpier/_cli.py
+++ b/src/heatherpier/_cli.py
@@ -14,6 +14,7 @@
   heatherpier bench restart [--deployment=NAME] [--proxies=N] [--seed=N]
   heatherpier bench writes
   heatherpier bench reads [--deployment=NAME] [--proxies=N] [--seed=N]
+  heatherpier bench quotas [--proxies=N] [--seed=N]
   heatherpier bench overload [--proxies=N] [--seed=N]
   heatherpier bench failover
   heatherpier bench load [--deployment=NAME] [--proxies=N] [--rate=N] [--seconds=N]
--- a/src/heatherpier/bench/_commands.py
+++ b/src/heatherpier/bench/_commands.py
@@ -17,6 +17,7 @@
 from heatherpier.bench._load_run import run_load
 from heatherpier.bench._overload import run_overload
 from heatherpier.bench._platform_server import run_platform
+from heatherpier.bench._quotas import run_quotas
 from heatherpier.bench._read_share import READ_MIXES, run_reads
 from heatherpier.bench._scale import run_scale
 from heatherpier.bench._write_cost import print_write_costs
@@ -87,6 +88,12 @@
     return EXIT_OK
 
 
+def _run_quotas(args: Mapping[str, Any]) -> int:
+    proxies = _integer(args, "--proxies", minimum=1)
+    print(json.dumps(run_quotas(proxies=proxies, seed=_seed(args)), indent=1))
+    return EXIT_OK
+
+
 def _run_reads(args: Mapping[str, Any]) -> int:
     name = args["--deployment"]
     if name not in READ_MIXES:
@@ -170,6 +177,7 @@
     "load": _run_load,
     "overload": _run_overload,
     "platform": _run_platform_process,
+    "quotas": _run_quotas,
     "reads": _run_reads,
     "restart": _run_restart,
     "scale": _run_scale,
--- a/src/heatherpier/quotas/__init__.py
+++ b/src/heatherpier/quotas/__init__.py
@@ -1,5 +1,6 @@
 """Limits the operations of each organisation over all proxies."""
 
+from heatherpier.quotas._buckets import Rate
 from heatherpier.quotas._fleet_rows import FleetRows
 from heatherpier.quotas._gate import QuotaGate
 from heatherpier.quotas._messages import QUOTA_MESSAGES, RightsAnswer, RightsRequest
@@ -13,6 +14,7 @@
     "OpenGate",
     "QuotaGate",
     "QuotaMetrics",
+    "Rate",
     "Refusal",
     "Right",
     "RightsAnswer",
--- a/src/heatherpier/quotas/_buckets.py
+++ b/src/heatherpier/quotas/_buckets.py
@@ -14,6 +14,10 @@
 SPARE = 10.0
 # Period over which rights are shared fairly, in seconds.
 SHARE_PERIOD_S = 1.0
+# Fraction of what other proxies are entitled to in a period that is kept for them when
+# one takes more than its share. They may have ceased to ask, as when an organisation's
+# callers move to one proxy, so that keeping all of it would leave rights unused.
+KEPT_FRACTION = 0.2
 # Time for which a computed fair level is used. With many proxies its computation would
 # otherwise take longer than the rest of an answer.
 LEVEL_REUSE_S = 0.05
@@ -135,8 +139,8 @@
     def give(self, asker: str, amount: float, now: float) -> Gift:
         """Gives rights to a proxy.
 
-        A proxy gets at least what the others that asked within the last second are not
-        entitled to.
+        A proxy gets its max-min fair share evenly over time, and beyond it whatever is
+        not kept for the others that asked lately.
 
         Args:
             asker: Name of the proxy.
@@ -195,10 +199,9 @@
         given = self._period.given.get(asker, 0.0)
         # A share of less than a right is not set aside: the first that ask get one.
         reserved = self._reserved - self._entitlement(asker, math.floor(fair))
-        # What is created until the end of the period serves the others.
-        left_s = max(self._period.began + SHARE_PERIOD_S - now, 0.0)
-        created = self._rate.per_s / ALLOCATORS * left_s
-        return max(math.ceil(fair) - given, self._level + created - max(reserved, 0.0))
+        kept = math.ceil(max(reserved, 0.0) * KEPT_FRACTION)
+        elapsed = (now - self._period.began) / SHARE_PERIOD_S
+        return max(math.floor(fair * elapsed) + 1 - given, self._level - kept)
 
     def _entitlement(self, asker: str, share: float) -> float:
         period = self._period
