--- a/src/heatherpier/forwarding/_connector.py
+++ b/src/heatherpier/forwarding/_connector.py
@@ -215,6 +215,11 @@
         """Whether waiters are in fair order at the homes."""
         return self.connector.fair()
 
+    @property
+    def may_abandon(self) -> bool:
+        """Whether an exchange may end early: the home keeps its connection."""
+        return True
+
     @property
     def open_connections(self) -> int:
         """Number of homes that can be asked at once."""
--- a/src/heatherpier/forwarding/_server.py
+++ b/src/heatherpier/forwarding/_server.py
@@ -156,6 +156,8 @@
         self._timers = timers
         self._stopping = False
         self._waiting = WaitingRequests()
+        # Waits for a connection, by link. A link has one request at a time.
+        self._acquiring: dict[LinkKey, asyncio.Task[InstanceConnection]] = {}
         # By sender and its incarnation.
         self._receipts: dict[str, dict[int, Receipts]] = {}
         self._running: dict[tuple[LinkKey, int], asyncio.Future[ForwardAnswer]] = {}
@@ -185,6 +187,9 @@
     async def _on_end(self, sender: str, end: ForwardEnd) -> None:
         key = LinkKey(sender=sender, incarnation=end.incarnation, link=end.link)
         self._receipts_of(sender, end.incarnation).end(end.link)
+        acquiring = self._acquiring.get(key)
+        if acquiring is not None:
+            acquiring.cancel()
         self._pins.end(key, cause="end")
 
     async def _on_request(self, sender: str, req: ForwardRequest) -> Message:
@@ -275,10 +280,7 @@
         answer = await self._exchange(pin, job)
         pin.busy = False
         pin.used_at = self._timers.now()
-        ended = self._receipts_of(job.key.sender, job.key.incarnation).ended(
-            job.key.link
-        )
-        if pin.conn.usable and not pin.conn.clean and not ended:
+        if pin.conn.usable and not pin.conn.clean and not self._has_ended(job):
             self._pins.add(pin)
             return self._with_load(pin.pool, answer, pinned=True)
         self._pins.release(pin)
@@ -355,22 +357,34 @@
     def _check_wanted(self, job: _Job) -> None:
         if self._timers.now() > job.send_until:
             raise _refused("no connection in time")
-        if self._receipts_of(job.key.sender, job.key.incarnation).ended(job.key.link):
+        if self._has_ended(job):
             raise _refused("the sender has ended the link")
 
+    def _has_ended(self, job: _Job) -> bool:
+        key = job.key
+        return self._receipts_of(key.sender, key.incarnation).ended(key.link)
+
     async def _wait_for_connection(
         self, pool: ConnectionPool, job: _Job
     ) -> InstanceConnection:
         req = job.req
         sent_at = self._timers.now()
-        try:
-            return await pool.acquire(
+        acquiring = asyncio.create_task(
+            pool.acquire(
                 req.values,
                 organisation=req.organisation,
                 priority=req.priority,
                 deadline=job.queue_until,
                 use=job.use,
             )
+        )
+        self._acquiring[job.key] = acquiring
+        try:
+            return await acquiring
+        except asyncio.CancelledError as exc:
+            if not self._has_ended(job):
+                raise
+            raise _refused("the sender has ended the link") from exc
         except OverloadedError as exc:
             answer = self._overloaded_answer(pool, exc.reason, exc.retry_after_ms)
             raise _NotRunError(answer) from exc
@@ -379,6 +393,8 @@
         except ConnectError as exc:
             self._notes.note_failure(req.instance, reason=str(exc), sent_at=sent_at)
             raise _refused(str(exc), unreachable=True) from exc
+        finally:
+            del self._acquiring[job.key]
 
     def _overloaded_answer(
         self, pool: ConnectionPool, reason: str, retry_after_ms: int | None = None
--- a/src/heatherpier/pooling/_interface.py
+++ b/src/heatherpier/pooling/_interface.py
@@ -56,6 +56,10 @@
     def fair(self) -> bool:
         """Whether waiters are in fair order, so that they may wait until late."""
 
+    @property
+    def may_abandon(self) -> bool:
+        """Whether ending an exchange early closes no connection to the instance."""
+
     @property
     def open_connections(self) -> int:
         """Number of connections that are acquired, idle or being opened."""
--- a/src/heatherpier/pooling/_pool.py
+++ b/src/heatherpier/pooling/_pool.py
@@ -100,6 +100,11 @@
         self._tending = False
         self._tasks: set[asyncio.Task[None]] = set()
 
+    @property
+    def may_abandon(self) -> bool:
+        """Whether an exchange may end early; the connection would be closed."""
+        return False
+
     @property
     def open_connections(self) -> int:
         """Number of connections that are acquired, idle or being opened."""
--- a/src/heatherpier/serving/_attempts.py
+++ b/src/heatherpier/serving/_attempts.py
@@ -101,9 +101,11 @@
 
     Attributes:
         sent: Whether the statement may have been sent.
+        may_abandon: Whether the attempt may end early although it was sent.
     """
 
     sent: bool = False
+    may_abandon: bool = False
 
     def timeout_result(self, target: Target) -> AttemptResult:
         """Returns the result of an attempt that did not end in time."""
@@ -193,7 +195,8 @@
         try:
             done, _ = await asyncio.wait({task}, timeout=max(left_s, 0))
         except asyncio.CancelledError:
-            if self._context.pools.fair and not progress.sent:
+            abandoned = progress.may_abandon or not progress.sent
+            if self._context.pools.fair and abandoned:
                 # Nobody needs the answer, so it takes no place among the waiters.
                 task.cancel()
             raise
@@ -210,10 +213,11 @@
         until: float,
     ) -> AttemptResult:
         try:
-            async with self.acquired(target, statement, until=until) as (conn, _):
+            async with self.acquired(target, statement, until=until) as (conn, pool):
                 # After `until` nothing is sent any more, so a statement that is
                 # reported as not sent does not run later.
                 progress.sent = self._context.timers.now() < until
+                progress.may_abandon = pool.may_abandon
                 return await self.send(conn, target, statement, until=until)
         except (OverloadedError, ConnectError) as exc:
             return self.not_sent(target, exc)
--- a/src/heatherpier/serving/_read_balancer.py
+++ b/src/heatherpier/serving/_read_balancer.py
@@ -71,6 +71,8 @@
 
     def order(self, options: Sequence[ReadOption]) -> list[str]:
         """Returns the names of all instances in the order in which to attempt them."""
+        if not options:
+            return []
         now = self._timers.now()
         by_name = {option.name: option for option in options}
         waits_s = self._estimates.expected_waits_s(list(by_name), now)
