--- a/src/heatherpier/forwarding/_link.py
+++ b/src/heatherpier/forwarding/_link.py
@@ -181,6 +181,8 @@
             raise PathLostError(f"{self._record.name} by {exc}") from exc
         except asyncio.CancelledError:
             if not self._request_failed:
+                # Nobody waits for the answer, so the home need not begin.
+                self.end()
                 raise
             raise PathLostError(
                 f"{self._record.name} by {home.peer.name}: given up"
