--- a/src/heatherpier/bench/_forwarding_cost.py
+++ b/src/heatherpier/bench/_forwarding_cost.py
@@ -1,11 +1,13 @@
 """Compares the processor time of forwarded statements with that of local ones."""
 
 import asyncio
+import dataclasses
 import time
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
 from heatherpier.bench._simulated_deployment import SimulatedDeployment, ask
-from heatherpier.serving import CallerSession
+from heatherpier.forwarding import HomeProbe
 from heatherpier.timers import LoopTimers, VirtualTimeLoop
 
 WALL_OFFSET_S = 1_700_000_000
@@ -30,11 +32,14 @@
             milliseconds.
         forwarded_ms: Processor time of one that another proxy forwards, in
             milliseconds.
+        network_ms: Processor time of a request without content and its answer on the
+            simulated network, in milliseconds. A forwarded statement includes it.
     """
 
     statements: int
     local_ms: float
     forwarded_ms: float
+    network_ms: float
 
     def as_dict(self) -> dict[str, float]:
         """Returns the figures by name, with the difference of both kinds."""
@@ -42,6 +47,7 @@
             "statements": self.statements,
             "local_ms": round(self.local_ms, 3),
             "forwarded_ms": round(self.forwarded_ms, 3),
+            "network_ms": round(self.network_ms, 3),
             "difference_ms": round(self.forwarded_ms - self.local_ms, 3),
         }
 
@@ -74,26 +80,41 @@
         began = time.process_time()
         await timers.sleep(IDLE_S)
         idle = (time.process_time() - began) / IDLE_S
-        costs = [
-            await _cost_ms(deployment.open(DATABASE, proxy=name), timers, idle=idle)
-            for name in (home.name, sender)
-        ]
-    return ForwardingCost(
-        statements=STATEMENTS, local_ms=costs[0], forwarded_ms=costs[1]
-    )
+        local, remote = (
+            deployment.open(DATABASE, proxy=name) for name in (home.name, sender)
+        )
+        network = deployment.fleet.network(
+            dataclasses.replace(home, name="bench", host="bench")
+        )
+        return ForwardingCost(
+            statements=STATEMENTS,
+            local_ms=await _cost_ms(
+                lambda: ask(local, "READ claim"), timers, idle=idle
+            ),
+            forwarded_ms=await _cost_ms(
+                lambda: ask(remote, "READ claim"), timers, idle=idle
+            ),
+            network_ms=await _cost_ms(
+                lambda: network.request(home, HomeProbe(), timeout_s=1.0),
+                timers,
+                idle=idle,
+            ),
+        )
 
 
-async def _cost_ms(session: CallerSession, timers: LoopTimers, *, idle: float) -> float:
-    """Returns the processor time of a statement in milliseconds.
+async def _cost_ms(
+    run: Callable[[], Awaitable[object]], timers: LoopTimers, *, idle: float
+) -> float:
+    """Returns the mean processor time of an operation in milliseconds.
 
     Args:
-        session: The session.
+        run: Runs the operation once.
         timers: Timer service.
         idle: Processor time of background work per virtual second, in seconds.
     """
     started_at = timers.now()
     began = time.process_time()
     for _ in range(STATEMENTS):
-        await ask(session, "READ claim")
+        await run()
     cpu_s = time.process_time() - began - idle * (timers.now() - started_at)
     return cpu_s / STATEMENTS * MS_PER_S
--- a/src/heatherpier/leases/_view.py
+++ b/src/heatherpier/leases/_view.py
@@ -103,6 +103,7 @@
         self.members: dict[str, MemberRecord] = {}
         self.before_restore: ViewBeforeRestore | None = None
         self._timers = timers
+        self._voters: frozenset[str] | None = None
         self._listeners: list[Callable[[str], None]] = []
         copy.subscribe(self._apply)
         copy.subscribe_to_epochs(self._keep_view)
@@ -147,8 +148,12 @@
 
     def voters(self) -> frozenset[str]:
         """Returns the names of the `MAX_VOTERS` members that registered first."""
-        oldest = sorted(self.members.values(), key=lambda item: item.version)
-        return frozenset(item.peer.name for item in oldest[:MAX_VOTERS])
+        if self._voters is None:
+            # Each check of a lease needs the voters, and several are made for each
+            # statement, so they are kept until the members change.
+            oldest = sorted(self.members.values(), key=lambda item: item.version)
+            self._voters = frozenset(item.peer.name for item in oldest[:MAX_VOTERS])
+        return self._voters
 
     def _apply(self, row: Row) -> None:
         if row.key.startswith(MEMBER_PREFIX):
@@ -165,10 +170,12 @@
         except msgspec.MsgspecError as exc:
             _log_undecodable(row, exc)
             return
+        self._voters = None
         if self.members.pop(name, None) is not None:
             # The member's row may have been removed and written again in between. The
             # voter set without the member then was current, so it is recorded.
             self.history.note_voters(self.voters())
+        self._voters = None
         self.members[name] = MemberRecord(
             peer=peer, version=row.version, capacity=capacity
         )
@@ -176,6 +183,7 @@
         log.info("member row received", member=name, version=row.version)
 
     def _remove_member(self, name: str, row: Row) -> None:
+        self._voters = None
         removed = self.members.pop(name, None)
         if removed is None:
             # The member joined and was removed unseen. It may have been a voter.
