--- a/src/heatherpier/forwarding/_metrics.py
+++ b/src/heatherpier/forwarding/_metrics.py
@@ -13,8 +13,7 @@
     def __init__(self, registry: CollectorRegistry) -> None:
         self.forwarded = Counter(
             "heatherpier_forwarded",
-            "Requests sent to homes by result: replied, refused, overloaded, lost or"
-            " unreachable.",
+            "Requests sent to homes by result: replied, refused, overloaded or lost.",
             ["result"],
             registry=registry,
         )
