--- a/src/heatherpier/_cli.py
+++ b/src/heatherpier/_cli.py
@@ -15,7 +15,7 @@
   heatherpier bench writes
   heatherpier bench reads [--deployment=NAME] [--proxies=N] [--seed=N]
   heatherpier bench overload [--proxies=N] [--seed=N]
-  heatherpier bench order [--seed=N]
+  heatherpier bench order [--seeds=N] [--seed=N]
   heatherpier bench failover
   heatherpier bench load [--deployment=NAME] [--proxies=N] [--rate=N] [--seconds=N]
                          [--seed=N]
@@ -36,8 +36,8 @@
   --admin=ADDRESS    Admin endpoint of a proxy, as IP:port.
   --deployment=NAME  sen-vang or lantern-ledger [default: sen-vang].
   --proxies=N        Count of proxies [default: 4].
-  --seed=N           Seed of all random choices; for faults, the first of them.
-  --seeds=N          Count of fault runs [default: 1].
+  --seed=N           Seed of all random choices; for faults and order, the first.
+  --seeds=N          Count of fault runs, or of runs of each load [default: 1].
   --rate=N           Operations a second in each group [default: 30].
   --seconds=N        Time over which operations arrive [default: 20].
   --nodes=N          Count of proxies in the scale run [default: 200].
--- a/src/heatherpier/bench/_commands.py
+++ b/src/heatherpier/bench/_commands.py
@@ -67,7 +67,8 @@
 
 
 def _run_order(args: Mapping[str, Any]) -> int:
-    print(json.dumps(order_report(seed=_seed(args)), indent=1))
+    runs = _integer(args, "--seeds", minimum=1)
+    print(json.dumps(order_report(seed=_seed(args), runs=runs), indent=1))
     return EXIT_OK
 
 
--- a/src/heatherpier/bench/_order.py
+++ b/src/heatherpier/bench/_order.py
@@ -65,42 +65,48 @@
             heapq.heappop(queue)
 
 
-def order_report(*, seed: int) -> dict[str, Any]:
+def order_report(*, seed: int, runs: int) -> dict[str, Any]:
     """Returns the figures of all loads, before (by arrival) and after (fair).
 
     Args:
-        seed: Seed of all random choices.
+        seed: Seed of the first run.
+        runs: Number of runs of each load, whose figures are averaged.
     """
+    seeds = range(seed, seed + runs)
     return {
-        "seed": seed,
+        "seeds": list(seeds),
         "decisions per second": {
             "before": round(measure_decisions(fair=False, seed=seed)),
             "after": round(measure_decisions(fair=True, seed=seed)),
         },
-        "loads": {load.name: _load_report(load, seed) for load in ORDER_LOADS},
+        "loads": {load.name: _load_report(load, seeds) for load in ORDER_LOADS},
     }
 
 
-def _load_report(load: OrderLoad, seed: int) -> dict[str, Any]:
-    return {
-        "before": _figures(measure_order(load, seed=seed, fair=False)),
-        "after": _figures(measure_order(load, seed=seed, fair=True)),
-    }
+def _load_report(load: OrderLoad, seeds: range) -> dict[str, dict[str, float]]:
+    report = {}
+    for label, fair in (("before", False), ("after", True)):
+        runs = [_figures(measure_order(load, seed=seed, fair=fair)) for seed in seeds]
+        report[label] = {
+            name: round(sum(run[name] for run in runs) / len(runs), 3)
+            for name in runs[0]
+        }
+    return report
 
 
-def _figures(figures: OrderFigures) -> dict[str, Any]:
+def _figures(figures: OrderFigures) -> dict[str, float]:
     shares = figures.shares()
     return {
-        "mean share": round(figures.mean_share(), 3),
-        "share of the worst tenth": round(figures.worst_share(), 3),
-        "share of the largest organisation": round(shares[min(shares)], 3),
+        "mean share": figures.mean_share(),
+        "share of the worst tenth": figures.worst_share(),
+        "share of the largest organisation": shares[min(shares)],
         "refused attempts": figures.refusals,
         "opened connections": figures.opened,
-        "classes": {
-            stream.name: {
-                "on time": round(figures.on_time_share(stream.name), 3),
-                "late": round(figures.late_share(stream.name), 3),
-            }
+        **{
+            f"{stream.name} on time": figures.on_time_share(stream.name)
             for stream in STREAMS
         },
+        **{
+            f"{stream.name} late": figures.late_share(stream.name) for stream in STREAMS
+        },
     }
--- a/src/heatherpier/bench/_order_run.py
+++ b/src/heatherpier/bench/_order_run.py
@@ -34,7 +34,8 @@
 AFTER_S = 3.0
 ATTEMPTS = 3
 MIN_EXECUTION_S = 0.05
-# Fraction of the objective for which a statement queues in the order of before.
+# As in `serving`, in fair order and in the order of before.
+UNATTEMPTED_FRACTION = 0.45
 QUEUE_FRACTION = 0.5
 MS_PER_S = 1000
 
@@ -293,14 +294,15 @@
         self, pool: ConnectionPool, stream: Stream, organisation: str, *, began: float
     ) -> InstanceConnection:
         now = self._timers.now()
-        latest = began + stream.deadline_s - MIN_EXECUTION_S
+        if self._fair:
+            deadline = began + stream.deadline_s * UNATTEMPTED_FRACTION
+        else:
+            deadline = now + stream.objective_s * QUEUE_FRACTION
         return await pool.acquire(
             {},
             priority=1,
             organisation=organisation,
-            deadline=latest
-            if self._fair
-            else min(latest, now + stream.objective_s * QUEUE_FRACTION),
+            deadline=deadline,
             use=ConnectionUse(
                 class_name=stream.name,
                 reads=stream.reads,
--- a/src/heatherpier/limits/tests/test_fair_queue.py
+++ b/src/heatherpier/limits/tests/test_fair_queue.py
@@ -227,3 +227,11 @@
         queue.pop(now)
     wait_s = queue.expected_wait_s(make_entry(now, objective_at=100.0), now)
     assert wait_s == pytest.approx(101 * 0.011, rel=0.3)
+
+
+def test_refused_callers_return_one_after_the_other():
+    # All would return in one moment, be refused again and have used up their attempts.
+    queue = FairQueue(rate=2.0)
+    returns_s = [queue.book_return_s(make_entry(name="long"), 0.0) for _ in range(20)]
+    assert returns_s == sorted(set(returns_s))
+    assert returns_s[-1] == pytest.approx(20 * COSTS_S["long"] / 2.0)
--- a/src/heatherpier/pooling/_pool.py
+++ b/src/heatherpier/pooling/_pool.py
@@ -112,7 +112,7 @@
 
     @property
     def fair(self) -> bool:
-        """Whether waiters are in fair order, so that they may wait until late."""
+        """Whether waiters are in fair order, and hopeless ones are refused at once."""
         return self._waiters.fair
 
     def expected_wait_s(self) -> float:
--- a/src/heatherpier/pooling/_pools.py
+++ b/src/heatherpier/pooling/_pools.py
@@ -39,7 +39,7 @@
 
     @property
     def fair(self) -> bool:
-        """Whether waiters are in fair order, so that they may wait until late."""
+        """Whether waiters are in fair order, and hopeless ones are refused at once."""
         return self._order is not None and self._order.active()
 
     def of(self, record: InstanceRecord) -> ConnectionPool:
--- a/src/heatherpier/serving/_attempts.py
+++ b/src/heatherpier/serving/_attempts.py
@@ -155,16 +155,15 @@
         full of connections of lost proxies, whose slots become free within seconds,
         and each refusal would use up one of the caller's few attempts.
 
-        In fair order, the pool refuses at once what it can't serve in time, so a
-        statement may wait as long as an answer could still arrive.
+        So it does in fair order, where the pool refuses at once what has no chance.
+        An instance that stops answering shows in its rate only after a while, so the
+        caller keeps time for an attempt through another proxy.
 
         Returns:
             Monotonic time in seconds.
         """
         latest = until - MIN_EXECUTION_S
-        if pool.fair:
-            return latest
-        if not pool.open_connections:
+        if pool.fair or not pool.open_connections:
             return min(latest, statement.unattempted_until())
         return min(latest, statement.queue_until(self._context.timers.now()))
 
