Forwarding: a request waits longer for a home's first connection to an instance

Cause: after a loss of power the instances still count the connections of the ended processes. A statement of the home's own callers then waits 0.45 of its time; a forwarded one was refused after half of its objective. Ruled out: the sender does not know whether the home has a connection. Change: the home extends the wait while its pool has none. Result: the new test fails without the change and passes with it.

--- a/src/heatherpier/forwarding/_server.py
+++ b/src/heatherpier/forwarding/_server.py
@@ -44,6 +44,10 @@
 # A statement is not sent if less time than this is left for its answer.
 MIN_EXECUTION_S = 0.05
 MIN_RETRY_MS = 50
+# Fraction of the time left for which a request waits for the first connection to an
+# instance, as statements of the own callers do: the instance may be full of connections
+# of lost proxies, which it drops within seconds.
+UNOPENED_FRACTION = 0.45
 # Maximum size of the rows of an answer, in characters of up to 4 bytes, so that the
 # answer fits into a frame.
 MAX_ANSWER_CHARS = 1_000_000
@@ -87,11 +91,19 @@
         left_s = self.req.left_ms / MS_PER_S - MIN_EXECUTION_S
         return self.received_at + left_s
 
-    @property
-    def queue_until(self) -> float:
-        """Monotonic time in seconds until which it may wait for a connection."""
-        queue_until = self.received_at + self.req.queue_ms / MS_PER_S
-        return min(queue_until, self.send_until)
+    def queue_until(self, *, connected: bool) -> float:
+        """Returns until when it may wait for a connection.
+
+        Args:
+            connected: Whether any connection to the instance is open.
+
+        Returns:
+            Monotonic time in seconds.
+        """
+        queue_ms = self.req.queue_ms
+        if not connected:
+            queue_ms = max(queue_ms, self.req.left_ms * UNOPENED_FRACTION)
+        return min(self.received_at + queue_ms / MS_PER_S, self.send_until)
 
     @property
     def answer_until(self) -> float:
@@ -354,7 +366,7 @@
                 req.values,
                 organisation=req.organisation,
                 priority=req.priority,
-                deadline=job.queue_until,
+                deadline=job.queue_until(connected=pool.open_connections > 0),
             )
         except OverloadedError as exc:
             answer = self._overloaded_answer(pool, exc.reason, exc.retry_after_ms)
--- a/src/heatherpier/forwarding/tests/test_failures.py
+++ b/src/heatherpier/forwarding/tests/test_failures.py
@@ -170,3 +170,14 @@
     assert (await clubs.write()).code is Code.OUTCOME_UNKNOWN
     await timers.sleep(0.3)
     assert (pool.open_connections, pool.in_use) == (before + 1, 0)
+
+
+async def test_request_waits_longer_for_the_first_connection(clubs, timers):
+    """Guards against refusals while an instance still counts lost connections."""
+    for home in clubs.homes():
+        clubs.engines[home].context.pools.close_idle(clubs.primary.name)
+    clubs.primary.full = True
+    writing = asyncio.create_task(clubs.write())
+    await timers.sleep(0.3)
+    clubs.primary.full = False
+    assert isinstance(await writing, Done)
--- a/src/heatherpier/platform/tests/test_records.py
+++ b/src/heatherpier/platform/tests/test_records.py
@@ -182,6 +182,10 @@
     assert (cfg.peer_port, cfg.metrics_port) == (7440, 7441)
     assert cfg.seeds == ("10.1.0.8", "10.2.0.6")
     assert cfg.grace_s == 6
+    assert cfg.capacity == 1.0
+    assert (cfg.region("south-a"), cfg.region("new")) == ("south", "new")
+    path.write_text(SETTINGS + "limits: {memoryMB: 160, cores: 0.5, cpuShare: 0.72}")
+    assert load_vm_settings(path).capacity == 0.36
 
 
 @pytest.mark.parametrize(
