Quotas: a new deployment creates rights after 3 s instead of 20 s

Cause: no row of a new deployment had stood for 20 s, so that all organisations with a limit were refused for the first 20 s. Ruled out: a row that names the first allocators; it needs a hand-over by time. Change: until a first proof row exists, copies must be 3 s old at most and rows have to stand for 3 s; the proof is written after 25 s. Measured: the model finds both halves of the rule left out; whole proxies pass.

--- a/src/heatherpier/quotas/_allocators.py
+++ b/src/heatherpier/quotas/_allocators.py
@@ -14,6 +14,10 @@
 # Maximum age of an allocator's copy of the members' table, and minimum time for which
 # its own row has stood.
 MAX_VIEW_AGE_S = 20.0
+# Both, as long as no member's row is proven to have stood for `MAX_VIEW_AGE_S`. It lets
+# a new deployment create rights soon, and exceeds the usual age of a copy, which is the
+# longest wait of a watch.
+FIRST_VIEW_AGE_S = 3.0
 # Time for which a removed member counts as present. It exceeds `MAX_VIEW_AGE_S`, for
 # which the member may still create rights, by the delay of slow clocks.
 REMOVED_RETENTION_S = 25.0
@@ -32,12 +36,18 @@
             the copy was complete.
         followed_s: Time in seconds over which all removals are known.
         running_s: Age of this process, in seconds.
+        proven: Whether the copy shows the proof that this proxy's row has stood for
+            `MAX_VIEW_AGE_S`.
+        none_proven: Whether there surely was no such proof for any member when the copy
+            was complete.
     """
 
     view_age_s: float
     row_stood_s: float
     followed_s: float
     running_s: float
+    proven: bool
+    none_proven: bool
 
 
 @lru_cache(maxsize=4096)
@@ -63,9 +73,11 @@
         return "others come first"
     if standing.running_s < RIGHT_VALIDITY_S:
         return "just started"
-    if standing.view_age_s > MAX_VIEW_AGE_S:
+    if standing.view_age_s > (MAX_VIEW_AGE_S if standing.proven else FIRST_VIEW_AGE_S):
         return "members out of date"
-    if standing.row_stood_s < MAX_VIEW_AGE_S:
+    if standing.row_stood_s < (
+        FIRST_VIEW_AGE_S if standing.none_proven else MAX_VIEW_AGE_S
+    ):
         return "own row is new"
     if standing.followed_s < MAX_VIEW_AGE_S:
         return "earlier removals unknown"
--- a/src/heatherpier/quotas/_fleet_rows.py
+++ b/src/heatherpier/quotas/_fleet_rows.py
@@ -43,6 +43,8 @@
         self._own_version = 0
         self._own_since = float("inf")
         self._restored_at = float("-inf")
+        # Whether any member's row was ever proven to have stood long enough.
+        self._any_proof = False
         self._first: tuple[str, ...] | None = None
         view.copy.subscribe(self._apply)
         view.copy.subscribe_to_whole_reads(self._note_whole_read)
@@ -61,6 +63,10 @@
             row_stood_s=self._row_stood_s(now - view_age_s),
             followed_s=now - since,
             running_s=now - self._began,
+            proven=self.is_proven(),
+            none_proven=not self._any_proof
+            and since == float("-inf")
+            and self._view.copy.epoch == 0,
         )
 
     def _row_stood_s(self, as_of: float) -> float:
@@ -110,6 +116,8 @@
         return {name: members[name].peer for name in self.first() if name in members}
 
     def _apply(self, row: Row) -> None:
+        if row.key.startswith(STOOD_PREFIX):
+            self._any_proof = True
         if not row.key.startswith(MEMBER_PREFIX):
             return
         self._first = None
--- a/src/heatherpier/quotas/_row_proof.py
+++ b/src/heatherpier/quotas/_row_proof.py
@@ -11,6 +11,10 @@
 
 log = get_logger("quotas")
 PERIOD_S = 1.0
+# Time for which the row has stood when the proof is written. With the first proof, the
+# shorter times that apply in a new deployment end; members that joined within 5 s of
+# the first one need no pause then.
+PROOF_AFTER_S = MAX_VIEW_AGE_S + 5.0
 
 
 class RowProof:
@@ -52,7 +56,7 @@
         rows = self._rows
         if self._me not in rows.first() or rows.is_proven():
             return False
-        return rows.standing().row_stood_s >= MAX_VIEW_AGE_S
+        return rows.standing().row_stood_s >= PROOF_AFTER_S
 
     async def _write(self) -> None:
         key, body, expected = self._rows.proof_row()
--- a/src/heatherpier/quotas/tests/test_random_faults.py
+++ b/src/heatherpier/quotas/tests/test_random_faults.py
@@ -60,6 +60,16 @@
     change_standing(patch, followed_s=1e9)
 
 
+def ignore_proofs_of_others(patch):
+    """A new member creates after 3 s, whatever the age of the copies of others."""
+    change_standing(patch, none_proven=True)
+
+
+def use_old_views_without_proof(patch):
+    """Copies of 20 s may be used although new members create after 3 s."""
+    change_standing(patch, proven=True)
+
+
 def change_standing(patch, **changes):
     standing = _fleet_rows.FleetRows.standing
     patch.setattr(
@@ -82,6 +92,8 @@
         (trust_any_earlier_row, {"only": "add_and_restart"}),
         (ignore_age_of_row, {"only": "add_and_restart"}),
         (ignore_age_of_view, {"only": "cut_and_replace"}),
+        (ignore_proofs_of_others, {"only": "add_and_restart"}),
+        (use_old_views_without_proof, {"only": "add_and_restart"}),
         (ignore_unknown_removals, {"only": "replace_unseen"}),
         (keep_all, {"only": "stall", "late_counts": True}),
         (keep_all, {"only": "part", "gives_again": True}),
