--- a/src/heatherpier/platform/tests/test_records.py
+++ b/src/heatherpier/platform/tests/test_records.py
@@ -182,6 +182,9 @@
     assert (cfg.peer_port, cfg.metrics_port) == (7440, 7441)
     assert cfg.seeds == ("10.1.0.8", "10.2.0.6")
     assert cfg.grace_s == 6
+    assert cfg.quota_window_s == 0
+    path.write_text(SETTINGS.replace("graceS: 6", "graceS: 6, quotaWindowS: 5"))
+    assert load_vm_settings(path).quota_window_s == 5
 
 
 @pytest.mark.parametrize(
