--- a/src/heatherpier/quotas/_gate.py
+++ b/src/heatherpier/quotas/_gate.py
@@ -119,15 +119,15 @@
             if self._version != self._routes.table.version:
                 self._version = self._routes.table.version
                 self._buckets.update_rates(self._timers.elapsed())
-            self._allocators = {
-                peer.name: peer
-                for peer in peers_to_ask(
-                    self._rows.first(), self._rows.members(), distance=self._distance
-                )
-            }
+            self._update_allocators()
             self._forget_organisations()
             self._note_expired()
 
+    def _update_allocators(self) -> None:
+        first, members = self._rows.first(), self._rows.members()
+        peers = peers_to_ask(first, members, distance=self._distance)
+        self._allocators = {peer.name: peer for peer in peers}
+
     def close(self) -> None:
         """Cancels all requests and refuses the operations that wait."""
         self._links.close()
@@ -165,6 +165,8 @@
         return answer
 
     async def _take_or_wait(self, name: str, deadline: float) -> Right | Refusal:
+        if not self._allocators:
+            self._update_allocators()
         demand = self._demands.get(name)
         if demand is None:
             demand = self._demands[name] = _Demand()
--- a/src/heatherpier/quotas/_links.py
+++ b/src/heatherpier/quotas/_links.py
@@ -21,7 +21,7 @@
 AVOID_S = 1.0
 MAX_AVOID_S = 8.0
 # Time for which a proxy is not asked after it said that it is no allocator.
-INACTIVE_S = 0.5
+INACTIVE_S = 0.2
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
