--- a/src/heatherpier/platform/tests/test_records.py
+++ b/src/heatherpier/platform/tests/test_records.py
@@ -186,6 +186,9 @@
     assert (cfg.region("south-a"), cfg.region("new")) == ("south", "new")
     path.write_text(SETTINGS + "limits: {memoryMB: 160, cores: 0.5, cpuShare: 0.72}")
     assert load_vm_settings(path).capacity == 0.36
+    assert cfg.quota_window_s == 0
+    path.write_text(SETTINGS.replace("graceS: 6", "graceS: 6, quotaWindowS: 5"))
+    assert load_vm_settings(path).quota_window_s == 5
 
 
 @pytest.mark.parametrize(
