--- a/src/heatherpier/quotas/_row_proof.py
+++ b/src/heatherpier/quotas/_row_proof.py
@@ -14,7 +14,7 @@
 # Time for which the row has stood when the proof is written. With the first proof, the
 # shorter times that apply in a new deployment end; members that joined within 4 s of
 # the first one need no pause then.
-PROOF_AFTER_S = MAX_VIEW_AGE_S + 5.0
+PROOF_AFTER_S = MAX_VIEW_AGE_S + 4.0
 
 
 class RowProof:
