--- a/src/heatherpier/quotas/tests/test_fleet_rows.py
+++ b/src/heatherpier/quotas/tests/test_fleet_rows.py
@@ -4,6 +4,7 @@
 
 from heatherpier.fleet import Peer
 from heatherpier.leases import FLEET_TABLE, MEMBER_PREFIX, FleetView, encode_member
+from heatherpier.quotas._allocators import MAX_VIEW_AGE_S
 from heatherpier.quotas._fleet_rows import STOOD_PREFIX, FleetRows
 from heatherpier.quotas.tests._model import ModelTimers
 from heatherpier.tables import Changes, Row, TableCopy, make_version
@@ -55,7 +56,7 @@
     """Guards against a first read that lacks members which were just removed."""
     table.apply(OWN_ROW, version=1, at=0.0)
     assert table.rows.standing().followed_s == float("inf")
-    table.apply(OWN_ROW, version=9, at=15.0, whole=True)
+    table.apply(OWN_ROW, version=9, at=MAX_VIEW_AGE_S - 2, whole=True)
     assert table.rows.standing().followed_s == float("inf")
     table.apply(OWN_ROW, version=10, at=36.0, whole=True)
     table.timers.time = 40.0
