Forwarding: the home is told of the end of each link that it has not answered

Cause: a request that timed out was no longer counted as in flight when its link was closed, so the home kept a transaction that the request had opened until its idle limit. Change: a link remembers that its last request is unanswered. Result: the new test fails without the change and passes with it.

--- a/src/heatherpier/forwarding/_link.py
+++ b/src/heatherpier/forwarding/_link.py
@@ -109,6 +109,7 @@
         self._home_incarnation = 0
         self._request: asyncio.Task[ForwardAnswer] | None = None
         self._request_failed = False
+        self._unanswered = False
         self._closed = False
 
     async def exchange(self, calls: Sequence[Call]) -> list[Reply]:
@@ -156,6 +157,7 @@
         self._step += 1
         req = self._make_request(calls, now=now, left_s=left_s)
         self.asked = home
+        self._unanswered = True
         self._request_failed = False
         self._request = asyncio.ensure_future(
             self._send(home, req, timeout_s=left_s + self.grace_s + NETWORK_MARGIN_S)
@@ -166,6 +168,7 @@
         try:
             answer = await self._request
             answered = True
+            self._unanswered = False
             result = _result_label(answer)
         except PeerUnreachableError as exc:
             raise PathLostError(f"{self._record.name} by {exc}") from exc
@@ -269,14 +272,9 @@
         if self._closed:
             return
         self._closed = True
-        in_flight = self._request is not None
         self._fail_request()
-        if self.asked is not None and (in_flight or self._pinned_at is not None):
-            self.end()
-
-    def end(self) -> None:
-        """Tells the home that was asked last that the link has ended."""
-        if self.asked is not None:
+        if self.asked is not None and (self._unanswered or self._pinned_at is not None):
+            # The home may still run the request, or hold a transaction that it opened.
             end = ForwardEnd(link=self._number, incarnation=self._context.incarnation)
             self._context.end_later(self.asked, end)
 
--- a/src/heatherpier/forwarding/tests/test_failures.py
+++ b/src/heatherpier/forwarding/tests/test_failures.py
@@ -181,3 +181,16 @@
     await timers.sleep(0.3)
     clubs.primary.full = False
     assert isinstance(await writing, Done)
+
+
+async def test_opening_without_an_answer_holds_nothing_at_the_home(clubs, timers):
+    """Guards against a connection that is held for a transaction nobody knows of."""
+    await clubs.write()
+    server = clubs.server(clubs.homes()[0])
+    delays = iter([0.0, 0.9])
+    clubs.fleet.draw_extra_delay_s = lambda: next(delays, 0.0)
+    session = clubs.session()
+    await ask(session, "BEGIN")
+    await ask(session, "WRITE a")
+    await timers.sleep(0.2)
+    assert not server._pins._pins
