--- a/src/heatherpier/quotas/tests/test_whole_proxies.py
+++ b/src/heatherpier/quotas/tests/test_whole_proxies.py
@@ -4,6 +4,7 @@
 import random
 from collections import Counter
 
+import logbook
 import pytest
 
 from heatherpier.bench import SimulatedDeployment
@@ -13,6 +14,7 @@
 from heatherpier.statements import Code, Failed
 
 PROXIES = 8
+REFUSED = "operation refused by its rate limit"
 # Time until the rows of members have stood long enough in a new deployment, and until
 # that is proven to later incarnations.
 SETTLE_S = 4.5
@@ -134,8 +136,13 @@
     await limited.timers.sleep(SETTLE_S)
     session = limited.open("claims-exact", key="key")
     await ask(session, "BEGIN")
-    assert (await ask(session, "READ")).outcome.code is Code.OVERLOADED
+    with logbook.TestHandler().applicationbound() as handler:
+        assert (await ask(session, "READ")).outcome.code is Code.OVERLOADED
     assert not session.in_transaction
+    [line] = [item for item in handler.records if item.message == REFUSED]
+    assert line.kwargs["id"]
+    assert line.kwargs["organisation"] == "acme"
+    assert line.kwargs["retry_after_ms"] >= 1
     load = Load(limited, rate=1.0, burst=10.0)
     await limited.timers.sleep(10.0)
     for text in (
@@ -152,6 +159,19 @@
     assert load.limit.stock == 19.5
 
 
+async def test_right_of_an_operation_that_was_not_run_is_put_back(limited):
+    """Guards against limits that failures use up."""
+    Load(limited, rate=20.0, burst=20.0)
+    await limited.timers.sleep(SETTLE_S)
+    for instance in limited.groups["claims"].instances.values():
+        limited.unregister(instance)
+    await limited.timers.sleep(1.0)
+    session = limited.open("claims-exact", key="key")
+    assert (await ask(session, "READ")).outcome.reason.startswith("no primary")
+    gate = limited.engines["proxy-0"].context.quotas
+    assert gate._ledger.held("acme", limited.timers.elapsed()) == 1
+
+
 async def test_without_the_setting_nothing_is_limited(deployment):
     """Guards against limits, messages or rows where the settings call for none."""
     load = Load(deployment, rate=1.0, burst=0.0)
