Engine: instance list, connection warmer and rate limits are parts of their own

Change: what applies the instances' table, opens connections ahead of use and limits rates has a module each; times of the table watches stand in _engine_times. Behaviour is unchanged.

--- a/src/heatherpier/_proxy_engine.py
+++ b/src/heatherpier/_proxy_engine.py
@@ -12,7 +12,17 @@
 
 from prometheus_client import CollectorRegistry
 
+from heatherpier._connection_warmer import ConnectionWarmer
 from heatherpier._engine_ports import Ports, StoreLayout, UnreadableRowError, VmLocation
+from heatherpier._engine_times import (
+    CONFIGURATION_MAX_AGE_S,
+    FLEET_LONG_POLL_S,
+    INSTANCES_MAX_AGE_S,
+    LONG_POLL_S,
+    REGISTRATION_S,
+    WATCH_PERIOD_S,
+)
+from heatherpier._instance_list import InstanceList
 from heatherpier._supervision import Run, run_supervised
 from heatherpier.balancing import BalancingMetrics, LoadEstimates
 from heatherpier.discovery import InstanceRecord, InstanceRegistry
@@ -48,7 +58,7 @@
     PoolLimits,
     WaiterMetrics,
 )
-from heatherpier.quotas import FleetRows, OpenGate, QuotaGate, QuotaMetrics, RowProof
+from heatherpier.quotas import OpenGate, RateLimits
 from heatherpier.routing import ActiveRoutes, RoutingTable
 from heatherpier.serving import (
     CallerSession,
@@ -66,35 +76,10 @@
 from heatherpier.tables import Row, TableCopy, TableFollower
 from heatherpier.telemetry import get_logger
 from heatherpier.timers import Timers
-from heatherpier.upstreams import ConnectError
 
 log = get_logger("engine")
-# Time for which one watch of a table waits for a change. A watch on an unresponsive
-# connection fails 1.2 s later, which is within the 5 s after which a VM counts as
-# connected again.
-LONG_POLL_S = 3.2
-# Watches of the fleet's table renew the leases on primaries; this lets two of them end
-# within the time of a lease.
-FLEET_LONG_POLL_S = 1.2
-# Minimum time between two calls for the same table. While many proxies start, each
-# registration changes the fleet's table; followers that a voter can serve have found
-# it within this time, and need no second call.
-WATCH_PERIOD_S = 0.4
 # Width of the number that tells incarnations of a process apart.
 CLOCK_ID_BITS = 48
-# Time that the first read of the fleet's table waits for this proxy's registration.
-REGISTRATION_S = 0.2
-EXPIRY_PERIOD_S = 0.25
-WARM_PERIOD_S = 1.0
-# Age of the copy up to which the routing table may answer that a database does not
-# exist. An unresponsive watch is noticed within this time, and the VM does not count
-# as connected again before it has passed.
-CONFIGURATION_MAX_AGE_S = 5.0
-# Distance of data centres in other regions, see `VmLocation.distance`.
-OTHER_REGION_DISTANCE = 2
-# From this age on, the copy of the instances' table does not show whether an entry that
-# it lacks was removed.
-INSTANCES_MAX_AGE_S = LONG_POLL_S + 1.5
 
 
 class ProxyEngine:
@@ -135,7 +120,6 @@
         self._routes = ActiveRoutes()
         self._known = asyncio.Event()
         self._stack = AsyncExitStack()
-        self._quota_runs: tuple[Run, ...] = ()
         self._registry = InstanceRegistry(timers=timers)
         self._health = InstanceHealth(timers=timers)
         self._configurations = TableCopy(layout.configuration, timers=timers)
@@ -143,10 +127,14 @@
         fleet = TableCopy(FLEET_TABLE, timers=timers)
         self._copies = (self._configurations, self._instances, fleet)
         self._configurations.subscribe(self._apply_configuration)
-        self._instances.subscribe(self._apply_instance)
+        self._instance_list = InstanceList(
+            self._instances,
+            registry=self._registry,
+            read=layout.read_instance,
+            max_age_s=INSTANCES_MAX_AGE_S,
+            timers=timers,
+        )
         self._registry.subscribe(self._forget_if_removed)
-        self._instances_current_since = timers.elapsed()
-        self._instances.subscribe_to_epochs(self._restart_instances)
         for copy in self._copies:
             copy.subscribe(self._note_known)
         self.view = FleetView(fleet, timers=timers)
@@ -185,7 +173,7 @@
         )
         balancer = ReadBalancer(
             estimates=self.load_estimates,
-            active=self._balances_reads,
+            active=self.forwarding.active,
             distance=location.distance,
             timers=timers,
             rng=rng,
@@ -199,6 +187,8 @@
             distance=location.distance,
             balancer=balancer,
         )
+        limits = self._make_rate_limits(metrics) if limits_rates else None
+        self._limit_runs = () if limits is None else limits.runs
         self.context = ServingContext(
             timers=timers,
             routes=self._routes,
@@ -216,7 +206,7 @@
             read_limiters={},
             metrics=ServingMetrics(metrics),
             configuration_recent=self._configuration_recent,
-            quotas=self._make_gate(metrics) if limits_rates else OpenGate(),
+            quotas=OpenGate() if limits is None else limits.gate,
         )
         self._runner = Runner(self.context)
         self.forwarding.serve(
@@ -273,33 +263,24 @@
             coordinators=self._coordinators,
             registry=self._registry,
             changer=self._changer,
-            instances_known_s=self._instances_current_s,
+            instances_known_s=self._instance_list.current_s,
             timers=timers,
         )
         self._watchers: dict[str, asyncio.Task[None]] = {}
 
-    def _make_gate(self, metrics: CollectorRegistry) -> QuotaGate:
-        me, view, timers = self._location.me, self.view, self._timers
-        rows = FleetRows(me, view=view, timers=timers)
-        gate = QuotaGate(
-            me,
+    def _make_rate_limits(self, metrics: CollectorRegistry) -> RateLimits:
+        limits = RateLimits(
+            self._location.me,
             network=self._ports.network,
-            rows=rows,
+            store=self._ports.store,
+            view=self.view,
             routes=self._routes,
             distance=self._location.distance,
-            timers=timers,
-            metrics=QuotaMetrics(metrics),
-        )
-        proof = RowProof(
-            me.name,
-            rows=rows,
-            store=self._ports.store,
-            needed=lambda: gate.in_use,
-            timers=timers,
+            metrics=metrics,
+            timers=self._timers,
         )
-        self._quota_runs = (gate.run, proof.run)
-        self._stack.callback(gate.close)
-        return gate
+        self._stack.callback(limits.gate.close)
+        return limits
 
     def _note_failure(self, name: str, reason: str) -> None:
         self._health.note_failure(name, reason=reason, sent_at=self._timers.now())
@@ -322,11 +303,17 @@
 
     async def __aenter__(self) -> "ProxyEngine":
         ports, timers, rng = self._ports, self._timers, self._rng
+        make_ranking = partial(
+            PeerRanking,
+            self._location.me.name,
+            distance=self._location.distance,
+            timers=timers,
+        )
         table_watch = PeerTableWatch(
             links=self._links,
             table_sync=self._table_sync,
             view=self.view,
-            ranking=self._make_ranking(),
+            ranking=make_ranking(),
             timers=timers,
         )
         registration = Registration(
@@ -351,7 +338,11 @@
                 from_beginning=copy is self.view.copy,
             )
             if copy is self.view.copy:
-                self._start_task(partial(_follow_registered, follower, registration))
+                self._start_task(
+                    partial(
+                        registration.run_after, follower.run, limit_s=REGISTRATION_S
+                    )
+                )
             else:
                 self._start_task(follower.run)
         liveness = MemberLiveness(
@@ -369,7 +360,7 @@
             fleet=self.view.copy,
             others=[self._configurations, self._instances],
             seeds=list(self._location.seeds),
-            ranking=self._make_ranking(),
+            ranking=make_ranking(),
             timers=timers,
         )
         for run in (
@@ -377,20 +368,17 @@
             registration.run,
             liveness.run,
             table_fallback.run,
-            self._expire_instances,
-            self._warm_connections,
-            *self._quota_runs,
+            self._instance_list.expire,
+            ConnectionWarmer(
+                self.context,
+                forwarding=self.forwarding,
+                distance=self._location.distance,
+            ).run,
+            *self._limit_runs,
         ):
             self._start_task(run)
         return self
 
-    def _make_ranking(self) -> PeerRanking:
-        return PeerRanking(
-            self._location.me.name,
-            distance=self._location.distance,
-            timers=self._timers,
-        )
-
     async def __aexit__(self, *exc_info: object) -> None:
         for task in self._watchers.values():
             task.cancel()
@@ -484,49 +472,18 @@
             coordinators=self._coordinators,
             changer=self._changer,
             confirmations=self._confirmations,
-            instances_known_s=self._instances_current_s,
+            instances_known_s=self._instance_list.current_s,
             failing_since=self._health.failing_since,
             note_answer=self._health.note_answer,
             timers=self._timers,
             rng=self._rng,
         )
 
-    def _apply_instance(self, row: Row) -> None:
-        if row.body is None:
-            self._registry.remove(row.key, reason="entry removed")
-            return
-        try:
-            record = self._layout.read_instance(row.key, row.body)
-        except UnreadableRowError as exc:
-            self._registry.remove(row.key, reason=str(exc))
-            return
-        self._registry.put(record)
-
-    def _instances_current_s(self) -> float:
-        """Returns for how many seconds the list of instances has been up to date."""
-        if self._instances.age_s() >= INSTANCES_MAX_AGE_S:
-            return 0.0
-        return self._timers.elapsed() - self._instances_current_since
-
-    def _restart_instances(self) -> None:
-        """Counts the list of instances as out of date from a restore of the store on.
-
-        Entries that the restore discarded are missing until the instances write again.
-        """
-        self._instances_current_since = self._timers.elapsed()
-
     def _synchronous_replicas(self, service: str) -> int:
         """Returns how many replicas hold a commit when it is acknowledged."""
         spec = self._routes.table.services.get(service)
         return 0 if spec is None else spec.synchronous_replicas
 
-    async def _expire_instances(self) -> None:
-        async for _ in self._timers.every(EXPIRY_PERIOD_S):
-            if self._instances.age_s() >= INSTANCES_MAX_AGE_S:
-                self._instances_current_since = self._timers.elapsed()
-                continue
-            self._registry.expire()
-
     def _forget_if_removed(self, record: InstanceRecord | None, name: str) -> None:
         if record is None:
             self.context.pools.drop(name)
@@ -535,44 +492,6 @@
             self.context.balancer.forget(name)
             self.context.read_limiters.pop(name, None)
 
-    async def _warm_connections(self) -> None:
-        """Keeps a connection open to each instance that is likely to be used.
-
-        These are the primaries and all instances of this VM's region, except those in
-        back-off or leaving. Connections that only homes should hold are closed instead.
-        """
-        async for _ in self._timers.every(WARM_PERIOD_S):
-            for record in self._registry.all():
-                if not self.forwarding.may_hold(record):
-                    self.context.pools.close_idle(record.name)
-                    continue
-                if self._routes.table.organisations is not None:
-                    # A connection opened ahead of use would belong to no organisation.
-                    continue
-                near = (
-                    self._location.distance(record.instance.data_centre)
-                    < OTHER_REGION_DISTANCE
-                )
-                primary = self.context.primary(record.service) == record.name
-                avoided = (
-                    self._health.in_backoff(record.name) or record.instance.leaving
-                )
-                if (near or primary) and not avoided:
-                    await self._warm_connection(record)
-
-    async def _warm_connection(self, record: InstanceRecord) -> None:
-        try:
-            await self.context.pools.direct(record).warm()
-        except ConnectError as exc:
-            self._note_failure(record.name, str(exc))
-
-    def _balances_reads(self) -> bool:
-        """Returns whether statements are forwarded for any service."""
-        return any(
-            self.forwarding.directory.active(service)
-            for service in self._routes.table.services
-        )
-
     def _pool_limits(self, record: InstanceRecord) -> PoolLimits:
         """Returns how many connections this proxy may open to an instance."""
         spec = self._routes.table.services.get(record.service)
@@ -581,11 +500,3 @@
         return self.forwarding.limits(record) or self._shares.share(
             accepted=spec.max_connections, proxies=len(self.view.members)
         )
-
-
-async def _follow_registered(
-    follower: TableFollower, registration: Registration
-) -> None:
-    """Follows the fleet's table once this proxy's row is in it."""
-    await registration.wait_for_attempt(limit_s=REGISTRATION_S)
-    await follower.run()
--- a/src/heatherpier/forwarding/_forwarding.py
+++ b/src/heatherpier/forwarding/_forwarding.py
@@ -116,6 +116,10 @@
             timers=self._timers,
         )
 
+    def active(self) -> bool:
+        """Returns whether statements are forwarded for any service."""
+        return any(map(self.directory.active, self._routes.table.services))
+
     def pool(self, record: InstanceRecord, organisation: str) -> RemotePool | None:
         """Returns the pool for a statement, or None to use this proxy's own."""
         return self._connector.pool(record, organisation)
--- a/src/heatherpier/leases/_registration.py
+++ b/src/heatherpier/leases/_registration.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections.abc import Awaitable, Callable
 
 from heatherpier.fleet import Peer
 from heatherpier.leases._primary_leases import PrimaryLeases
@@ -84,6 +85,13 @@
             # The store does not answer; its tables are then read as soon as it does.
             return
 
+    async def run_after(
+        self, run: Callable[[], Awaitable[None]], *, limit_s: float
+    ) -> None:
+        """Runs a task once the first attempt has ended, or ``limit_s`` seconds later."""
+        await self.wait_for_attempt(limit_s=limit_s)
+        await run()
+
     def _note_own_row(self, row: Row) -> None:
         """Adopts the version that this proxy's row has after a restore of the store."""
         if row.key == MEMBER_PREFIX + self._me.name:
--- a/src/heatherpier/pooling/_idle.py
+++ b/src/heatherpier/pooling/_idle.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Mapping
 
-from heatherpier.pooling._calls import ClearSession
+from heatherpier.pooling._calls import ClearSession, RollBack
 from heatherpier.pooling._connection import InstanceConnection
 from heatherpier.telemetry import get_logger
 from heatherpier.timers import Timers
@@ -13,6 +13,7 @@
 # connection can stop answering for good.
 IDLE_CHECK_S = 1.0
 IDLE_CHECK_TIMEOUT_S = 0.25
+ROLLBACK_TIMEOUT_S = 0.5
 
 
 class IdleConnections(list[InstanceConnection]):
@@ -85,3 +86,17 @@
             reason=str(exc),
         )
     return conn.usable
+
+
+async def roll_back(conn: InstanceConnection) -> None:
+    """Rolls back the transaction of a connection that is open."""
+    try:
+        if conn.usable:
+            await conn.run([RollBack()], timeout_s=ROLLBACK_TIMEOUT_S)
+    except UpstreamError as exc:
+        # The instance rolls the transaction back when the connection closes.
+        log.info(
+            "rollback failed, connection closed",
+            instance=conn.instance,
+            reason=str(exc),
+        )
--- a/src/heatherpier/pooling/_pool.py
+++ b/src/heatherpier/pooling/_pool.py
@@ -4,10 +4,9 @@
 from collections.abc import Coroutine, Mapping
 from typing import Any
 
-from heatherpier.pooling._calls import RollBack
 from heatherpier.pooling._connection import InstanceConnection
 from heatherpier.pooling._crowding import Crowding
-from heatherpier.pooling._idle import IdleConnections, passes_check
+from heatherpier.pooling._idle import IdleConnections, passes_check, roll_back
 from heatherpier.pooling._interface import InstanceConnector
 from heatherpier.pooling._limits import PoolLimits
 from heatherpier.pooling._uses import (
@@ -24,7 +23,6 @@
     ConnectError,
     Instance,
     TooManyConnectionsError,
-    UpstreamError,
 )
 
 log = get_logger("lending")
@@ -44,7 +42,6 @@
 # Period in which waiters in fair order that have become hopeless are refused.
 TEND_PERIOD_S = 0.05
 MIN_RETRY_MS = 50
-ROLLBACK_TIMEOUT_S = 0.5
 
 
 class ConnectionPool:
@@ -66,8 +63,11 @@
         scarce: Whether all proxies need connections to the instance, because it is a
             primary.
         opened: Number of connections that were opened so far.
+        may_abandon: Whether an exchange may end early; it would close the connection.
     """
 
+    may_abandon = False
+
     def __init__(
         self,
         instance: Instance,
@@ -100,11 +100,6 @@
         self._tending = False
         self._tasks: set[asyncio.Task[None]] = set()
 
-    @property
-    def may_abandon(self) -> bool:
-        """Whether an exchange may end early; the connection would be closed."""
-        return False
-
     @property
     def open_connections(self) -> int:
         """Number of connections that are acquired, idle or being opened."""
@@ -443,15 +438,7 @@
 
     async def _roll_back(self, conn: InstanceConnection, held_s: float) -> None:
         try:
-            if conn.usable:
-                await conn.run([RollBack()], timeout_s=ROLLBACK_TIMEOUT_S)
-        except UpstreamError as exc:
-            # The instance rolls the transaction back when the connection closes.
-            log.info(
-                "rollback failed, connection closed",
-                instance=self.instance.name,
-                reason=str(exc),
-            )
+            await roll_back(conn)
         finally:
             self.release(conn, held_s=held_s)
 
--- a/src/heatherpier/quotas/__init__.py
+++ b/src/heatherpier/quotas/__init__.py
@@ -5,8 +5,8 @@
 from heatherpier.quotas._gate import QuotaGate
 from heatherpier.quotas._messages import QUOTA_MESSAGES, RightsAnswer, RightsRequest
 from heatherpier.quotas._metrics import QuotaMetrics
+from heatherpier.quotas._rate_limits import RateLimits
 from heatherpier.quotas._right import OpenGate, Refusal, Right
-from heatherpier.quotas._row_proof import RowProof
 
 __all__ = [
     "QUOTA_MESSAGES",
@@ -15,9 +15,9 @@
     "QuotaGate",
     "QuotaMetrics",
     "Rate",
+    "RateLimits",
     "Refusal",
     "Right",
     "RightsAnswer",
     "RightsRequest",
-    "RowProof",
 ]
