--- a/src/heatherpier/_proxy_engine.py
+++ b/src/heatherpier/_proxy_engine.py
@@ -220,7 +220,7 @@
             network=network,
             registry=self._registry,
             control=ports.control,
-            note_failure=self._note_failure,
+            note_failure=self._health.note_failed_probe,
         )
         self._releases = LeaseReleases(
             network=network,
@@ -282,9 +282,6 @@
         self._stack.callback(limits.gate.close)
         return limits
 
-    def _note_failure(self, name: str, reason: str) -> None:
-        self._health.note_failure(name, reason=reason, sent_at=self._timers.now())
-
     def _make_changer(self) -> PrimaryChanger:
         return PrimaryChanger(
             self._location.me.name,
--- a/src/heatherpier/serving/_health.py
+++ b/src/heatherpier/serving/_health.py
@@ -80,6 +80,10 @@
         state.failures = 0
         state.backoff_until = 0.0
 
+    def note_failed_probe(self, name: str, reason: str) -> None:
+        """Records that an instance failed a probe that has just ended."""
+        self.note_failure(name, reason=reason, sent_at=self._timers.now())
+
     def note_failure(self, name: str, *, reason: str, sent_at: float) -> None:
         """Records that an instance gave no answer.
 
