Quotas: a restart of all proxies creates rights at once without the store's history

Cause: the store keeps 20 s of history. Ruled out: creating without knowing removals; the model finds a sixth allocator. Change: outside of a new deployment only members with a proof create rights, and a restarted proxy counts every name with a proof that is no member as removed. It relies on that once its own proof is settled. Old proofs are deleted.

--- a/src/heatherpier/quotas/_allocators.py
+++ b/src/heatherpier/quotas/_allocators.py
@@ -39,6 +39,8 @@
         running_s: Age of this process, in seconds.
         proven: Whether the copy shows the proof that this proxy's row has stood for
             `MAX_VIEW_AGE_S`.
+        settled: Whether that proof was written at least `FIRST_VIEW_AGE_S` after the
+            first one of any member, and the store was never restored.
         none_proven: Whether there surely was no such proof for any member when the copy
             was complete.
     """
@@ -48,6 +50,7 @@
     followed_s: float
     running_s: float
     proven: bool
+    settled: bool
     none_proven: bool
 
 
@@ -76,11 +79,13 @@
         return "just started"
     if standing.view_age_s > (MAX_VIEW_AGE_S if standing.proven else FIRST_VIEW_AGE_S):
         return "members out of date"
-    if standing.row_stood_s < (
-        FIRST_VIEW_AGE_S if standing.none_proven else MAX_VIEW_AGE_S
-    ):
+    if standing.none_proven:
+        is_old = standing.row_stood_s >= FIRST_VIEW_AGE_S
+    else:
+        is_old = standing.proven
+    if not is_old:
         return "own row is new"
-    if standing.followed_s < MAX_VIEW_AGE_S:
+    if standing.followed_s < MAX_VIEW_AGE_S and not standing.settled:
         return "earlier removals unknown"
     return ""
 
--- a/src/heatherpier/quotas/_fleet_rows.py
+++ b/src/heatherpier/quotas/_fleet_rows.py
@@ -13,6 +13,8 @@
 
 # Rows that say which version of a member's row has stood for `MAX_VIEW_AGE_S`.
 STOOD_PREFIX = "stood/"
+# End of the content of such a row that was written again `FIRST_VIEW_AGE_S` later.
+SETTLED = b" settled"
 # Age of the copy up to which a restore of the store leaves the standing of this
 # proxy's row as it is. Up to this age, those that saw a removal which the restore undid
 # count the row as present for as long as their copies may be used.
@@ -41,6 +43,7 @@
         # Since when all removals are known; None until the first read.
         self._followed_since: float | None = None
         self._own_version = 0
+        self._proven_since = float("inf")
         self._own_since = float("inf")
         self._restored_at = float("-inf")
         # Whether any member's row was ever proven to have stood long enough.
@@ -63,7 +66,8 @@
             row_stood_s=self._row_stood_s(now - view_age_s),
             followed_s=now - since,
             running_s=now - self._began,
-            proven=self.is_proven(),
+            proven=self.is_proven() and self._restored_for_s() >= MAX_VIEW_AGE_S,
+            settled=self.is_settled() and self._view.copy.epoch == 0,
             none_proven=not self._any_proof
             and since == float("-inf")
             and self._view.copy.epoch == 0,
@@ -83,16 +87,47 @@
 
     def is_proven(self) -> bool:
         """Returns whether a row says that this proxy's row has stood long enough."""
+        return self._own_proof().removesuffix(SETTLED) == self._proof_body()
+
+    def is_settled(self) -> bool:
+        """Returns whether the proof was written some time after the first one."""
+        return self._own_proof() == self._proof_body() + SETTLED
+
+    def proven_s(self) -> float:
+        """Returns for how long the copy has shown the proof, in seconds."""
+        if not self.is_proven():
+            return 0.0
+        return self._timers.elapsed() - self._proven_since
+
+    def _own_proof(self) -> bytes:
         proof = self._view.copy.get(STOOD_PREFIX + self._me.name)
-        if proof is None or proof.body is None or not self._own_version:
-            return False
-        return proof.body == str(number_of(self._own_version)).encode()
+        return b"" if proof is None or proof.body is None else proof.body
+
+    def _proof_body(self) -> bytes:
+        return str(number_of(self._own_version)).encode()
+
+    def _restored_for_s(self) -> float:
+        """Returns the age of the last restore that may have undone a removal."""
+        as_of = self._timers.elapsed() - self._view.copy.age_s()
+        return as_of - self._restored_at
+
+    def old_proofs(self) -> list[Row]:
+        """Returns the proofs of members that were removed for `REMOVED_RETENTION_S`."""
+        if self.standing().followed_s < REMOVED_RETENTION_S:
+            return []
+        present = self._view.members.keys() | self._removed_at.keys()
+        return [
+            row
+            for row in self._view.copy.rows()
+            if row.key.startswith(STOOD_PREFIX)
+            and row.key.removeprefix(STOOD_PREFIX) not in present
+        ]
 
     def proof_row(self) -> tuple[str, bytes, int]:
         """Returns key, content and expected version of the row for `is_proven`."""
         key = STOOD_PREFIX + self._me.name
         known = self._view.copy.get(key)
-        body = str(number_of(self._own_version)).encode()
+        body = self._proof_body() + (SETTLED if self.is_proven() else b"")
         return key, body, 0 if known is None else known.version
 
     def first(self) -> tuple[str, ...]:
@@ -117,7 +152,7 @@
 
     def _apply(self, row: Row) -> None:
         if row.key.startswith(STOOD_PREFIX):
-            self._any_proof = True
+            self._note_proof(row)
         if not row.key.startswith(MEMBER_PREFIX):
             return
         self._first = None
@@ -129,6 +164,20 @@
         if name == self._me.name:
             self._apply_own(row)
 
+    def _note_proof(self, row: Row) -> None:
+        self._any_proof = True
+        name = row.key.removeprefix(STOOD_PREFIX)
+        if name == self._me.name:
+            self._proven_since = min(self._proven_since, self._timers.elapsed())
+        elif row.body is not None and name not in self._view.members:
+            # A whole read shows no removals. Members with a proof are all that may
+            # still create rights without knowing of their removal.
+            self._note_removed(name)
+
+    def _note_removed(self, name: str) -> None:
+        self._removed_at[name] = self._timers.elapsed()
+        self._first = None
+
     def _apply_own(self, row: Row) -> None:
         if row.body is None:
             self._own_version, self._own_since = 0, float("inf")
