--- a/src/heatherpier/forwarding/_messages.py
+++ b/src/heatherpier/forwarding/_messages.py
@@ -22,9 +22,13 @@
     objective_ms: float
 
 
-class ForwardRequest(Message, frozen=True, kw_only=True, tag="forward"):
+class ForwardRequest(
+    Message, frozen=True, kw_only=True, omit_defaults=True, tag="forward"
+):
     """Asks a home to run calls on a connection of its own.
 
+    Fields with their default are left out of the message.
+
     Attributes:
         link: Number of the link, unique within the sender's incarnation.
         step: Number of the request, rising within the link.
@@ -59,21 +63,23 @@
     instance: str
     started_ms: int
     service: str
-    organisation: str
-    priority: int
+    organisation: str = ""
+    priority: int = 0
     left_ms: float
     queue_ms: float
-    grace_ms: float
-    primary: bool
-    term_version: int
-    continues: bool
-    values: dict[str, str]
-    prepared: WireCall | None
     calls: list[WireCall]
+    grace_ms: float = 0.0
+    primary: bool = False
+    term_version: int = 0
+    continues: bool = False
+    values: dict[str, str] = {}
+    prepared: WireCall | None = None
     use: UseRecord | None = None
 
 
-class ForwardAnswer(Message, frozen=True, kw_only=True, tag="forwarded"):
+class ForwardAnswer(
+    Message, frozen=True, kw_only=True, omit_defaults=True, tag="forwarded"
+):
     """Answers a `ForwardRequest`. One of the first three attributes is set.
 
     Attributes:
