Quotas: a new member takes no allocator's place before it may create rights

Cause: members that join may rank before present allocators, which then stop, while the new ones create nothing for 12.5 s. Ruled out: more allocators; whole rights are then scarcer at each, and the share that is displaced stays. Change: a proxy with a settled proof leaves out a member that it saw join until its proof shows, or 11.5 s after its last copy without it.

--- a/src/heatherpier/quotas/_fleet_rows.py
+++ b/src/heatherpier/quotas/_fleet_rows.py
@@ -15,6 +15,12 @@
 STOOD_PREFIX = "stood/"
 # End of the content of such a row that was written again `FIRST_VIEW_AGE_S` later.
 SETTLED = b" settled"
+# Time for which the row has stood when its proof is written. With the first proof, the
+# shorter times that apply in a new deployment end; members that joined within 3 s of
+# the first one need no pause then.
+PROOF_AFTER_S = MAX_VIEW_AGE_S + 3.0
+# Time after which a new member counts, with a margin for slow clocks.
+JOINING_S = PROOF_AFTER_S - 1.0
 # Age of the copy up to which a restore of the store leaves the standing of this
 # proxy's row as it is. Up to this age, those that saw a removal which the restore undid
 # count the row as present for as long as their copies may be used.
@@ -40,6 +46,10 @@
         self._began = timers.elapsed()
         # Time of the removal of each recently removed member.
         self._removed_at: dict[str, float] = {}
+        # Names of all members that the copy has shown.
+        self._known: set[str] = set()
+        # Times until which members that have joined certainly create no rights.
+        self._joining_until: dict[str, float] = {}
         # Since when all removals are known; None until the first read.
         self._followed_since: float | None = None
         self._own_version = 0
@@ -131,7 +141,11 @@
         return key, body, 0 if known is None else known.version
 
     def first(self) -> tuple[str, ...]:
-        """Returns the first members, counting recently removed ones as present."""
+        """Returns the first members, counting recently removed ones as present.
+
+        Those that have just joined don't count yet: they take no place before they
+        create rights.
+        """
         now = self._timers.elapsed()
         expired = [
             name
@@ -140,9 +154,12 @@
         ]
         for name in expired:
             del self._removed_at[name]
-        if self._first is None or expired:
+        joined = [name for name, at in self._joining_until.items() if now >= at]
+        for name in joined:
+            del self._joining_until[name]
+        if self._first is None or expired or joined:
             names = self._view.members.keys() | self._removed_at.keys()
-            self._first = first_allocators(names)
+            self._first = first_allocators(names - self._joining_until.keys())
         return self._first
 
     def members(self) -> dict[str, Peer]:
@@ -161,14 +178,32 @@
             # Also a member that joined and was removed unseen, which may not know yet
             # that it was removed.
             self._removed_at[name] = self._timers.elapsed()
+            self._joining_until.pop(name, None)
+        elif name not in self._known and name not in self._removed_at:
+            self._note_joined(name)
+        self._known.add(name)
         if name == self._me.name:
             self._apply_own(row)
 
+    def _note_joined(self, name: str) -> None:
+        """Leaves a new member out of the first ones until it may create rights.
+
+        It joined after the copy was complete without it, and writes its proof
+        `PROOF_AFTER_S` later at the earliest. Members of a new deployment create sooner;
+        a settled proof of this proxy's row, which they see, shows that it is none.
+        """
+        complete_at = self._timers.elapsed() - self._view.copy.age_s()
+        if self.is_settled() and self._view.copy.epoch == 0:
+            self._joining_until[name] = complete_at + JOINING_S
+
     def _note_proof(self, row: Row) -> None:
         self._any_proof = True
         name = row.key.removeprefix(STOOD_PREFIX)
         if name == self._me.name:
             self._proven_since = min(self._proven_since, self._timers.elapsed())
+        elif row.body is not None and name in self._joining_until:
+            del self._joining_until[name]
+            self._first = None
         elif row.body is not None and name not in self._view.members:
             # A whole read shows no removals. Members with a proof are all that may
             # still create rights without knowing of their removal.
--- a/src/heatherpier/quotas/_row_proof.py
+++ b/src/heatherpier/quotas/_row_proof.py
@@ -3,18 +3,14 @@
 from collections.abc import Callable
 
 from heatherpier.leases import FLEET_TABLE
-from heatherpier.quotas._allocators import FIRST_VIEW_AGE_S, MAX_VIEW_AGE_S
-from heatherpier.quotas._fleet_rows import FleetRows
+from heatherpier.quotas._allocators import FIRST_VIEW_AGE_S
+from heatherpier.quotas._fleet_rows import PROOF_AFTER_S, FleetRows
 from heatherpier.tables import RowStore, StoreError
 from heatherpier.telemetry import get_logger
 from heatherpier.timers import Timers
 
 log = get_logger("quotas")
 PERIOD_S = 0.25
-# Time for which the row has stood when the proof is written. With the first proof, the
-# shorter times that apply in a new deployment end; members that joined within 3 s of
-# the first one need no pause then.
-PROOF_AFTER_S = MAX_VIEW_AGE_S + 3.0
 # Time for which the proof has stood when it is written again as settled. All copies that
 # may still be used without a proof are younger than it.
 SETTLED_AFTER_S = FIRST_VIEW_AGE_S + 1.0
--- a/src/heatherpier/quotas/tests/test_fleet_rows.py
+++ b/src/heatherpier/quotas/tests/test_fleet_rows.py
@@ -5,7 +5,12 @@
 from heatherpier.fleet import Peer
 from heatherpier.leases import FLEET_TABLE, MEMBER_PREFIX, FleetView, encode_member
 from heatherpier.quotas._allocators import MAX_VIEW_AGE_S
-from heatherpier.quotas._fleet_rows import MAX_AGE_AT_RESTORE_S, STOOD_PREFIX, FleetRows
+from heatherpier.quotas._fleet_rows import (
+    JOINING_S,
+    MAX_AGE_AT_RESTORE_S,
+    STOOD_PREFIX,
+    FleetRows,
+)
 from heatherpier.quotas.tests._model import ModelTimers
 from heatherpier.tables import Changes, Row, TableCopy, make_version
 
@@ -87,3 +92,37 @@
     rows = (OWN_ROW, (STOOD_PREFIX + "me", 2, b"1"))
     table.apply(*rows, version=2, at=restored_at, whole=True, epoch=1)
     assert (table.rows.standing().row_stood_s == float("inf")) is stands
+
+
+def settled(table):
+    """Shows the own row with its settled proof; returns the row of another member."""
+    table.apply(OWN_ROW, (STOOD_PREFIX + "me", 2, b"1 settled"), version=2, at=0.0)
+    peer = Peer(name="new", host="new", port=1, data_centre="north")
+    return (MEMBER_PREFIX + "new", 3, encode_member(peer))
+
+
+def test_new_member_takes_no_place_before_it_may_create_rights(table):
+    """Guards against places that nobody fills while new members are too new."""
+    table.apply(settled(table), version=3, at=1.0)
+    assert table.rows.first() == ("me",)
+    table.timers.time = JOINING_S - 0.1
+    assert table.rows.first() == ("me",)
+    # The copy was complete without it at 0 s, so its row may be as old as that.
+    table.timers.time = JOINING_S
+    assert set(table.rows.first()) == {"me", "new"}
+
+
+def test_new_member_counts_as_soon_as_its_proof_shows(table):
+    """Guards against a sixth allocator."""
+    table.apply(settled(table), version=3, at=1.0)
+    table.apply((STOOD_PREFIX + "new", 4, b"3"), version=4, at=2.0)
+    assert set(table.rows.first()) == {"me", "new"}
+
+
+def test_member_of_a_new_deployment_counts_at_once(table):
+    """Guards against members that create after 3 s while others leave them out."""
+    new = settled(table)
+    table = Table()
+    table.apply(OWN_ROW, version=1, at=0.0)
+    table.apply(new, version=3, at=1.0)
+    assert set(table.rows.first()) == {"me", "new"}
