Quotas: a member that has registered again takes no allocator's place at first

Cause: allocators that are cut off are removed, counted as present for 12.5 s, register again as new, and may create nothing for 12.5 s more. Ruled out: counting a return as the old row; its copy may have missed other members. Change: a row of a new version counts like that of a member that has just joined.

--- a/src/heatherpier/limits/_fair_queue.py
+++ b/src/heatherpier/limits/_fair_queue.py
@@ -2,7 +2,7 @@
 
 import heapq
 import itertools
-from collections import Counter
+from collections import defaultdict
 from collections.abc import Collection, Iterator
 from dataclasses import dataclass
 from typing import Generic, TypeVar
@@ -112,10 +112,9 @@
         return rejected
 
     def _newest_of_largest(self) -> E:
-        costs: Counter[str] = Counter()
+        costs: dict[str, float] = defaultdict(float)
         for entry in self:
-            # Counter's annotation allows integers only.
-            costs[entry.organisation] += entry.cost_s  # type: ignore[assignment]
+            costs[entry.organisation] += entry.cost_s
         largest = max(costs, key=lambda name: costs[name])
         return max(
             (entry for entry in self if entry.organisation == largest),
--- a/src/heatherpier/quotas/_fleet_rows.py
+++ b/src/heatherpier/quotas/_fleet_rows.py
@@ -46,8 +46,8 @@
         self._began = timers.elapsed()
         # Time of the removal of each recently removed member.
         self._removed_at: dict[str, float] = {}
-        # Names of all members that the copy has shown.
-        self._known: set[str] = set()
+        # Versions of the members' rows, without the epoch.
+        self._versions: dict[str, int] = {}
         # Times until which members that have joined certainly create no rights.
         self._joining_until: dict[str, float] = {}
         # Since when all removals are known; None until the first read.
@@ -179,9 +179,10 @@
             # that it was removed.
             self._removed_at[name] = self._timers.elapsed()
             self._joining_until.pop(name, None)
-        elif name not in self._known and name not in self._removed_at:
+            self._versions.pop(name, None)
+        elif self._versions.get(name) != number_of(row.version):
+            self._versions[name] = number_of(row.version)
             self._note_joined(name)
-        self._known.add(name)
         if name == self._me.name:
             self._apply_own(row)
 
@@ -191,10 +192,14 @@
         It joined after the copy was complete without it, and writes its proof
         `PROOF_AFTER_S` later at the earliest. Members of a new deployment create sooner;
         a settled proof of this proxy's row, which they see, shows that it is none.
+
+        A member that was removed registers again once it knows of that, and has ceased
+        to create rights then.
         """
         complete_at = self._timers.elapsed() - self._view.copy.age_s()
         if self.is_settled() and self._view.copy.epoch == 0:
             self._joining_until[name] = complete_at + JOINING_S
+            self._removed_at.pop(name, None)
 
     def _note_proof(self, row: Row) -> None:
         self._any_proof = True
--- a/src/heatherpier/quotas/tests/_model.py
+++ b/src/heatherpier/quotas/tests/_model.py
@@ -142,6 +142,14 @@
         for item in self.rng.sample(self.allocators(), min(2, len(self.allocators()))):
             self.cut_from_store[item.name] = self.timers.time + self.rng.uniform(15, 40)
             self.remove(item.name)
+            if self.rng.random() < 0.5:
+                self.faults.append(
+                    (
+                        self.cut_from_store[item.name],
+                        lambda name=item.name: self.removed.discard(name),
+                    )
+                )
+                self.faults.sort(key=lambda fault: fault[0])
         for _ in range(2):
             self.add()
 
--- a/src/heatherpier/quotas/tests/test_fleet_rows.py
+++ b/src/heatherpier/quotas/tests/test_fleet_rows.py
@@ -112,6 +112,17 @@
     assert set(table.rows.first()) == {"me", "new"}
 
 
+def test_member_that_registers_again_takes_no_place_at_first(table):
+    """Guards against the places of allocators that were cut off and have returned."""
+    table.apply(settled(table), version=3, at=1.0)
+    table.timers.time = 30.0
+    key, _, body = settled(Table())
+    table.apply((key, 4, None), version=4, at=30.0)
+    assert set(table.rows.first()) == {"me", "new"}
+    table.apply((key, 5, body), version=5, at=32.0)
+    assert table.rows.first() == ("me",)
+
+
 def test_new_member_counts_as_soon_as_its_proof_shows(table):
     """Guards against a sixth allocator."""
     table.apply(settled(table), version=3, at=1.0)
