Quotas: an asker below its fair share always finds a whole right

Change: while an asker wants less than its share, those that want more leave one right in the bucket.

--- a/src/heatherpier/quotas/_buckets.py
+++ b/src/heatherpier/quotas/_buckets.py
@@ -121,6 +121,8 @@
         self._fair_until = -math.inf
         # What the askers together are still entitled to in the present period.
         self._reserved = 0.0
+        # Whether some asker wants less than its share, and so is owed all it asks for.
+        self._any_modest = False
 
     def level(self, now: float) -> float:
         """Returns how many rights the bucket holds."""
@@ -191,6 +193,7 @@
         if self._fair != math.inf:
             share = math.floor(self._fair)
             self._reserved = sum(self._entitlement(name, share) for name in demands)
+            self._any_modest = any(demand < self._fair for demand in demands.values())
         return self._fair
 
     def _allowance(self, asker: str, fair: float, now: float) -> float:
@@ -201,12 +204,21 @@
         reserved = self._reserved - self._entitlement(asker, math.floor(fair))
         kept = math.ceil(max(reserved, 0.0) * KEPT_FRACTION)
         elapsed = (now - self._period.began) / SHARE_PERIOD_S
-        return max(math.floor(fair * elapsed) + 1 - given, self._level - kept)
+        due = math.floor(fair * elapsed) + 1 - given
+        allowed = max(due, self._level - kept)
+        if self._any_modest and self._demand(asker) >= fair:
+            # Rights are whole. Without one in store, an asker that wants less than its
+            # share would find none whenever this one takes each as it is created.
+            return min(allowed, self._level - 1)
+        return allowed
 
     def _entitlement(self, asker: str, share: float) -> float:
-        period = self._period
-        demand = max(period.demands.get(asker, 0.0), self._previous.get(asker, 0.0))
-        return max(min(share, demand) - period.given.get(asker, 0.0), 0.0)
+        got = self._period.given.get(asker, 0.0)
+        return max(min(share, self._demand(asker)) - got, 0.0)
+
+    def _demand(self, asker: str) -> float:
+        present = self._period.demands.get(asker, 0.0)
+        return max(present, self._previous.get(asker, 0.0))
 
 
 class Buckets:
