Quotas: ways to begin and to make up for lost allocators, behind one interface

Change: start and loss are policies as data classes, the standing ones remain in use here; the bound follows quotaWindowS, quotaExcess and quotaExtra of the settings instead of fixed figures; the start of the process is known from before its imports.

--- a/deploy/serve.py
+++ b/deploy/serve.py
@@ -7,8 +7,11 @@
 import gc
 import os
 import sys
+import time
 from pathlib import Path
 
+# The imports take longer than the rest of the start.
+started_at = time.clock_gettime(time.CLOCK_BOOTTIME)
 # No connection of the proxy uses TLS, but a library reads the system's certificates
 # when it is imported, unless there are none.
 os.environ["SSL_CERT_FILE"] = os.devnull
@@ -20,4 +23,4 @@
 
 gc.freeze()
 gc.enable()
-main()
+main(started_at=started_at)
--- a/src/heatherpier/_platform_proxy.py
+++ b/src/heatherpier/_platform_proxy.py
@@ -126,6 +126,8 @@
         output: Buffer of log lines, which is flushed periodically; None if lines are
             written directly.
         log_handler: Log handler whose level the admin endpoint may change, or None.
+        started_at: Time in seconds by `Timers.elapsed` at which the process was
+            started, before its imports; None for now.
     """
 
     def __init__(
@@ -135,11 +137,13 @@
         reload: Callable[[], VmSettings],
         output: BoundedOutput | None = None,
         log_handler: JsonHandler | None = None,
+        started_at: float | None = None,
     ) -> None:
         self._cfg = cfg
         self._read_settings = reload
         self._output = output
         self._log_handler = log_handler
+        self._started_at = started_at
         self._stopping = False
         self._timers = LoopTimers()
         self._metrics = Metrics()
@@ -237,7 +241,8 @@
             timers=timers,
             rng=random.SystemRandom(),
             metrics=self._metrics.registry,
-            limits_rates=cfg.quota_window_s > 0,
+            quota_window=cfg.quota_window,
+            started_at=self._started_at,
         )
 
     def _peer(self, name: str, host: str) -> Peer:
--- a/src/heatherpier/_proxy_engine.py
+++ b/src/heatherpier/_proxy_engine.py
@@ -58,7 +58,7 @@
     PoolLimits,
     WaiterMetrics,
 )
-from heatherpier.quotas import OpenGate, RateLimits
+from heatherpier.quotas import OpenGate, QuotaWindow, RateLimits
 from heatherpier.routing import ActiveRoutes, RoutingTable
 from heatherpier.serving import (
     CallerSession,
@@ -92,7 +92,10 @@
         timers: Timer service.
         rng: Random source.
         metrics: Registry of the engine's metrics.
-        limits_rates: Whether the rates of organisations are limited.
+        quota_window: Windows in which the rates of organisations are limited, or None
+            if they are not.
+        started_at: Time in seconds by `Timers.elapsed` at which the process was
+            started; None for now.
 
     Attributes:
         context: State that all sessions share.
@@ -110,7 +113,8 @@
         timers: Timers,
         rng: random.Random,
         metrics: CollectorRegistry,
-        limits_rates: bool = False,
+        quota_window: QuotaWindow | None = None,
+        started_at: float | None = None,
     ) -> None:
         self._location = location
         self._ports = ports
@@ -187,7 +191,11 @@
             distance=location.distance,
             balancer=balancer,
         )
-        limits = self._make_rate_limits(metrics) if limits_rates else None
+        limits = (
+            None
+            if quota_window is None
+            else self._make_rate_limits(quota_window, started_at, metrics)
+        )
         self._limit_runs = () if limits is None else limits.runs
         self.context = ServingContext(
             timers=timers,
@@ -268,7 +276,9 @@
         )
         self._watchers: dict[str, asyncio.Task[None]] = {}
 
-    def _make_rate_limits(self, metrics: CollectorRegistry) -> RateLimits:
+    def _make_rate_limits(
+        self, window: QuotaWindow, started_at: float | None, metrics: CollectorRegistry
+    ) -> RateLimits:
         limits = RateLimits(
             self._location.me,
             network=self._ports.network,
@@ -278,6 +288,8 @@
             distance=self._location.distance,
             metrics=metrics,
             timers=self._timers,
+            window=window,
+            started_at=started_at,
         )
         self._stack.callback(limits.gate.close)
         return limits
--- a/src/heatherpier/_serve.py
+++ b/src/heatherpier/_serve.py
@@ -20,11 +20,13 @@
 EXIT_INVALID = 2
 
 
-def serve(path: Path) -> int:
+def serve(path: Path, *, started_at: float | None = None) -> int:
     """Runs a proxy until it is stopped and returns its exit code.
 
     Args:
         path: Path of the settings file that the platform writes.
+        started_at: Time of `CLOCK_BOOTTIME` in seconds at which the process was
+            started; None for now.
 
     Raises:
         MalformedRecordError: The file can't be read or is malformed.
@@ -42,22 +44,25 @@
             reload=lambda: load_vm_settings(path),
             output=output,
             log_handler=handler,
+            started_at=started_at,
         )
         return asyncio.run(proxy.run())
 
 
-def main(path: str | None = None) -> NoReturn:
+def main(path: str | None = None, *, started_at: float | None = None) -> NoReturn:
     """Runs a proxy and exits with its code.
 
     Args:
         path: Path of the settings file; by default that in `SETTINGS_VARIABLE`.
+        started_at: Time of `CLOCK_BOOTTIME` in seconds at which the process was
+            started; None for now.
     """
     path = path or os.environ.get(SETTINGS_VARIABLE)
     if not path:
         print(f"heatherpier: {SETTINGS_VARIABLE} is not set", file=sys.stderr)
         sys.exit(EXIT_INVALID)
     try:
-        code = serve(Path(path))
+        code = serve(Path(path), started_at=started_at)
     except MalformedRecordError as exc:
         print(f"heatherpier: {exc}", file=sys.stderr)
         code = EXIT_INVALID
--- a/src/heatherpier/platform/_settings.py
+++ b/src/heatherpier/platform/_settings.py
@@ -7,6 +7,7 @@
 
 from heatherpier.platform._errors import MalformedRecordError
 from heatherpier.platform._instances import split_address
+from heatherpier.quotas import QuotaWindow
 
 # Contract under which callers are identified by their keys.
 IDENTITIES_CONTRACT = "tenants"
@@ -33,6 +34,10 @@
     # Length of the windows in which the operations of a tenant are counted, in seconds;
     # 0 if they are not limited.
     quota_window_s: float = 0
+    # Operations that such a window allows beyond rate and burst: a fraction of them, and
+    # a number.
+    quota_excess: float = 0.1
+    quota_extra: float = 20
 
 
 class _Platform(msgspec.Struct, kw_only=True):
@@ -81,8 +86,8 @@
         seeds: Hosts of other proxies, which may be out of date.
         grace_s: Time from SIGTERM to SIGKILL, in seconds.
         identifies_callers: Whether callers need a key.
-        quota_window_s: Length of the windows in which the operations of an
-            organisation are limited, in seconds; 0 if they are not.
+        quota_window: Windows in which the operations of an organisation are limited,
+            or None if they are not.
         capacity: Processor cores that the process may use.
     """
 
@@ -99,7 +104,7 @@
     seeds: tuple[str, ...]
     grace_s: float
     identifies_callers: bool = False
-    quota_window_s: float = 0
+    quota_window: QuotaWindow | None = None
     capacity: float = 1.0
 
     def distance(self, data_centre: str) -> int:
@@ -147,6 +152,16 @@
         seeds=seeds,
         grace_s=raw.bounds.grace_s,
         identifies_callers=IDENTITIES_CONTRACT in raw.contracts,
-        quota_window_s=raw.bounds.quota_window_s,
+        quota_window=_quota_window(raw.bounds),
         capacity=raw.limits.cores * raw.limits.cpu_share,
     )
+
+
+def _quota_window(bounds: _Bounds) -> QuotaWindow | None:
+    if bounds.quota_window_s <= 0:
+        return None
+    return QuotaWindow(
+        length_s=bounds.quota_window_s,
+        excess=bounds.quota_excess,
+        extra=bounds.quota_extra,
+    )
--- a/src/heatherpier/quotas/_allocators.py
+++ b/src/heatherpier/quotas/_allocators.py
@@ -11,6 +11,9 @@
 
 # Number of allocators. Each creates this share of every rate.
 ALLOCATORS = 5
+# Number of members, in the same order, that prove their rows. They include those that
+# become allocators when others are lost, which then need no further wait.
+STANDBYS = ALLOCATORS
 # Maximum age of an allocator's copy of the members' table, and minimum time for which
 # its own row has stood. Leases on primaries end 9.4 s after the store has been lost, so
 # a longer time would serve little more.
@@ -22,8 +25,7 @@
 # Time for which a removed member counts as present. It exceeds `MAX_VIEW_AGE_S`, for
 # which the member may still create rights, by the delay of slow clocks.
 REMOVED_RETENTION_S = 12.5
-# Validity of a right, from the sending of the request for it. A process creates no
-# rights for this time after its start: those of its previous incarnation expire in it.
+# Validity of a right, from the sending of the request for it.
 RIGHT_VALIDITY_S = 0.5
 
 
@@ -64,7 +66,9 @@
     return tuple(heapq.nsmallest(ALLOCATORS, names, key=_rank))
 
 
-def why_inactive(me: str, first: Collection[str], standing: Standing) -> str:
+def why_inactive(
+    me: str, first: Collection[str], standing: Standing, *, pause_s: float = 0.0
+) -> str:
     """Returns why a proxy creates no rights, or an empty text if it does.
 
     Args:
@@ -72,10 +76,11 @@
         first: First of its members by `first_allocators`, with those removed within
             `REMOVED_RETENTION_S` counted as present.
         standing: What the proxy knows of the fleet.
+        pause_s: Time in seconds after the start in which it creates no rights.
     """
     if me not in first:
         return "others come first"
-    if standing.running_s < RIGHT_VALIDITY_S:
+    if standing.running_s < pause_s:
         return "just started"
     if standing.view_age_s > (MAX_VIEW_AGE_S if standing.proven else FIRST_VIEW_AGE_S):
         return "members out of date"
@@ -90,6 +95,11 @@
     return ""
 
 
+def standbys(names: Collection[str]) -> tuple[str, ...]:
+    """Returns the allocators and those that take the place of lost ones."""
+    return tuple(heapq.nsmallest(STANDBYS, names, key=_rank))
+
+
 def peers_to_ask(
     first: Collection[str],
     members: Mapping[str, Peer],
--- a/src/heatherpier/quotas/_buckets.py
+++ b/src/heatherpier/quotas/_buckets.py
@@ -25,6 +25,31 @@
 EPSILON = 1e-9
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class QuotaWindow:
+    """Windows in which the operations of an organisation are counted.
+
+    Attributes:
+        length_s: Length in seconds.
+        excess: Fraction of rate and burst that is allowed beyond them.
+        extra: Operations that are allowed beyond that.
+    """
+
+    length_s: float = 5.0
+    excess: float = 0.1
+    extra: float = 20.0
+
+    @property
+    def spare(self) -> float:
+        """Operations beyond rate and burst for which rights are created."""
+        return min(SPARE, self.extra / 2)
+
+    def allowed(self, per_s: float, burst: float) -> float:
+        """Returns how many rights may be spent in a window at a rate and a burst."""
+        usual = per_s * self.length_s + burst
+        return usual * (1 + self.excess) + self.extra - self.spare
+
+
 @dataclass(frozen=True, slots=True)
 class Rate:
     """Rate limit of an organisation.
@@ -32,10 +57,12 @@
     Attributes:
         per_s: Rights created per second by all allocators.
         burst: Operations that may run at once beyond the rate.
+        window: Windows in which the limit holds.
     """
 
     per_s: float
     burst: float
+    window: QuotaWindow = QuotaWindow()
 
     @property
     def stock(self) -> float:
@@ -44,12 +71,40 @@
         Rights given earlier stay valid for `RIGHT_VALIDITY_S`, so that time of the rate
         is part of what can run at once.
         """
-        return max(self.burst - self.per_s * RIGHT_VALIDITY_S, 0.0) + SPARE
+        usual = max(self.burst - self.per_s * RIGHT_VALIDITY_S, 0.0) + self.window.spare
+        created = self.per_s * (self.window.length_s + RIGHT_VALIDITY_S)
+        return min(usual, max(self._allowed - created, 0.0))
+
+    @property
+    def _allowed(self) -> float:
+        return self.window.allowed(self.per_s, self.burst)
+
+    @property
+    def max_factor(self) -> float:
+        """Highest multiple of the rate that allocators together may create."""
+        created = self.per_s * (self.window.length_s + RIGHT_VALIDITY_S)
+        return (self._allowed - self.stock) / created if created > 0 else 1.0
+
+    def share_per_s(self, missing: int = 0) -> float:
+        """Returns how many rights one allocator creates per second.
+
+        Args:
+            missing: Number of allocators whose shares the others make up for, as far
+                as `max_factor` allows.
+        """
+        present = max(ALLOCATORS - missing, 1)
+        factor = min(ALLOCATORS / present, self.max_factor)
+        return self.per_s * factor / ALLOCATORS
 
-    def max_operations(self, window_s: float) -> float:
-        """Returns the maximum number of operations in any window of this length."""
-        validity = self.per_s * RIGHT_VALIDITY_S
-        return self.per_s * window_s + max(self.burst, validity) + SPARE
+    def max_operations(self, window_s: float, *, missing: int = 0) -> float:
+        """Returns the maximum number of operations in any window of this length.
+
+        Args:
+            window_s: Length of the window in seconds.
+            missing: Largest number of allocators that any other one makes up for.
+        """
+        created = self.share_per_s(missing) * ALLOCATORS
+        return created * (window_s + RIGHT_VALIDITY_S) + self.stock
 
 
 @dataclass(frozen=True, slots=True)
@@ -113,6 +168,7 @@
 
     def __init__(self, rate: Rate, *, empty_at: float) -> None:
         self._rate = rate
+        self._share_per_s = rate.share_per_s()
         self._level = 0.0
         self._filled_at = empty_at
         self._period = _Period(began=empty_at)
@@ -129,12 +185,19 @@
         self._fill(now)
         return self._level
 
-    def set_rate(self, rate: Rate, now: float) -> None:
-        """Changes the rate limit; the bucket is cut to what the new one allows."""
-        if rate == self._rate:
+    def set_rate(self, rate: Rate, now: float, *, missing: int = 0) -> None:
+        """Changes the rate limit; the bucket is cut to what the new one allows.
+
+        Args:
+            rate: Rate limit from now on.
+            now: Time in seconds.
+            missing: Number of allocators whose shares the others make up for.
+        """
+        share_per_s = rate.share_per_s(missing)
+        if rate == self._rate and share_per_s == self._share_per_s:
             return
         self._fill(now)
-        self._rate = rate
+        self._rate, self._share_per_s = rate, share_per_s
         self._level = min(self._level, rate.stock / ALLOCATORS)
         self._fair_until = -math.inf
 
@@ -160,15 +223,14 @@
         period.given[asker] = period.given.get(asker, 0.0) + given
         if given >= amount:
             return Gift(given)
-        per_s = self._rate.per_s / ALLOCATORS
-        share = min(fair / SHARE_PERIOD_S, per_s)
+        share = min(fair / SHARE_PERIOD_S, self._share_per_s)
         return Gift(given, retry_s=1 / share if share > 0 else math.inf)
 
     def _fill(self, now: float) -> None:
         elapsed_s = max(now - self._filled_at, 0.0)
         self._filled_at = max(now, self._filled_at)
         stock = self._rate.stock / ALLOCATORS
-        created = self._rate.per_s / ALLOCATORS * elapsed_s
+        created = self._share_per_s * elapsed_s
         self._level = min(self._level + created, stock)
 
     def _enter_period(self, now: float) -> None:
@@ -187,7 +249,7 @@
         demands = dict(self._previous)
         for asker, demand in self._period.demands.items():
             demands[asker] = max(demand, demands.get(asker, 0.0))
-        capacity = self._rate.per_s / ALLOCATORS * SHARE_PERIOD_S
+        capacity = self._share_per_s * SHARE_PERIOD_S
         self._fair = fair_level(demands, max(capacity, self._level))
         self._fair_until = now + LEVEL_REUSE_S
         if self._fair != math.inf:
@@ -233,14 +295,25 @@
         self._rate_of = rate_of
         self._buckets: dict[str, Bucket] = {}
         self._empty_at = 0.0
+        self._missing = 0
 
-    def restart(self, now: float) -> None:
+    def restart(self, empty_at: float) -> None:
         """Empties all buckets: this proxy begins to be an allocator.
 
         Another one may have given all its rights just before.
+
+        Args:
+            empty_at: Time in seconds since which rights were created for nobody else.
         """
         self._buckets.clear()
-        self._empty_at = now
+        self._empty_at = empty_at
+
+    def set_missing(self, missing: int, now: float) -> None:
+        """Sets for how many other allocators this one makes up from now on."""
+        if missing != self._missing:
+            # What was created before was created at the earlier share.
+            self._missing = missing
+            self.update_rates(now)
 
     def update_rates(self, now: float) -> None:
         """Applies the rate limits of a new configuration from now on.
@@ -252,7 +325,7 @@
             if rate is None:
                 del self._buckets[organisation]
             else:
-                bucket.set_rate(rate, now)
+                bucket.set_rate(rate, now, missing=self._missing)
 
     def give(self, organisation: str, asker: str, amount: float, now: float) -> Gift:
         """Gives rights of an organisation to a proxy.
@@ -270,5 +343,5 @@
         bucket = self._buckets.get(organisation)
         if bucket is None:
             bucket = self._buckets[organisation] = Bucket(rate, empty_at=self._empty_at)
-        bucket.set_rate(rate, now)
+        bucket.set_rate(rate, now, missing=self._missing)
         return bucket.give(asker, amount, now)
--- a/src/heatherpier/quotas/_fleet_rows.py
+++ b/src/heatherpier/quotas/_fleet_rows.py
@@ -7,6 +7,7 @@
     REMOVED_RETENTION_S,
     Standing,
     first_allocators,
+    standbys,
 )
 from heatherpier.tables import Row, number_of
 from heatherpier.timers import Timers
@@ -59,6 +60,7 @@
         # Whether any member's row was ever proven to have stood long enough.
         self._any_proof = False
         self._first: tuple[str, ...] | None = None
+        self._standbys: tuple[str, ...] = ()
         view.copy.subscribe(self._apply)
         view.copy.subscribe_to_whole_reads(self._note_whole_read)
         view.copy.subscribe_to_epochs(self._note_restore)
@@ -159,9 +161,15 @@
             del self._joining_until[name]
         if self._first is None or expired or joined:
             names = self._view.members.keys() | self._removed_at.keys()
-            self._first = first_allocators(names - self._joining_until.keys())
+            names -= self._joining_until.keys()
+            self._first, self._standbys = first_allocators(names), standbys(names)
         return self._first
 
+    def proving(self) -> tuple[str, ...]:
+        """Returns the members that prove their rows, by the same order as `first`."""
+        self.first()
+        return self._standbys
+
     def members(self) -> dict[str, Peer]:
         """Returns the addresses of the first members that are present."""
         members = self._view.members
--- a/src/heatherpier/quotas/_gate.py
+++ b/src/heatherpier/quotas/_gate.py
@@ -7,7 +7,7 @@
 
 from heatherpier.fleet import Message, Peer, PeerNetwork
 from heatherpier.quotas._allocators import RIGHT_VALIDITY_S, peers_to_ask
-from heatherpier.quotas._buckets import Buckets, Rate
+from heatherpier.quotas._buckets import Buckets, QuotaWindow, Rate
 from heatherpier.quotas._demand import DEFAULT_RETRY_S, Arrivals, Supply, ahead
 from heatherpier.quotas._fleet_rows import FleetRows
 from heatherpier.quotas._issuer import MS_PER_S, RightsIssuer
@@ -15,6 +15,7 @@
 from heatherpier.quotas._links import AllocatorLinks, Answered
 from heatherpier.quotas._messages import RightsAnswer, RightsRequest
 from heatherpier.quotas._metrics import QuotaMetrics
+from heatherpier.quotas._policies import QuotaPolicy
 from heatherpier.quotas._right import Refusal, Right
 from heatherpier.routing import ActiveRoutes
 from heatherpier.telemetry import get_logger
@@ -63,6 +64,10 @@
         distance: Distance to a data centre.
         timers: Timer service.
         metrics: Counters.
+        window: Windows in which the limits hold.
+        policy: How allocators begin and make up for each other.
+        started_at: Time in seconds by `Timers.elapsed` at which the process was
+            started; None for now.
     """
 
     def __init__(
@@ -75,6 +80,9 @@
         distance: Callable[[str], int],
         timers: Timers,
         metrics: QuotaMetrics,
+        window: QuotaWindow | None = None,
+        policy: QuotaPolicy | None = None,
+        started_at: float | None = None,
     ) -> None:
         self._me = me
         self._rows = rows
@@ -82,6 +90,7 @@
         self._distance = distance
         self._timers = timers
         self._metrics = metrics
+        self._window = window or QuotaWindow()
         self._ledger = Ledger()
         self._demands: dict[str, _Demand] = {}
         self._allocators: dict[str, Peer] = {}
@@ -89,7 +98,12 @@
         self._version = 0
         self._buckets = Buckets(self.rate)
         self._issuer = RightsIssuer(
-            me.name, rows=rows, buckets=self._buckets, timers=timers
+            me.name,
+            rows=rows,
+            buckets=self._buckets,
+            timers=timers,
+            policy=policy or QuotaPolicy(),
+            started_at=timers.elapsed() if started_at is None else started_at,
         )
         self._links = AllocatorLinks(
             network=network, on_answer=self._take_answer, timers=timers, metrics=metrics
@@ -102,7 +116,7 @@
         known = None if organisations is None else organisations.get(organisation)
         if known is None or known.rate_per_s is None:
             return None
-        return Rate(known.rate_per_s, known.burst)
+        return Rate(known.rate_per_s, known.burst, self._window)
 
     @property
     def in_use(self) -> bool:
@@ -116,6 +130,7 @@
             if not self.in_use:
                 continue
             self._issuer.update()
+            self._issuer.note_silent(self._links.silent())
             if self._version != self._routes.table.version:
                 self._version = self._routes.table.version
                 self._buckets.update_rates(self._timers.elapsed())
--- a/src/heatherpier/quotas/_links.py
+++ b/src/heatherpier/quotas/_links.py
@@ -103,6 +103,10 @@
             if (avoided := self._avoided.get(name)) is None or now >= avoided.until
         ]
 
+    def silent(self) -> list[str]:
+        """Returns the allocators whose last answer was missing or had no rights."""
+        return list(self._avoided)
+
     def send(self, peer: Peer, asks: Mapping[str, float], *, version: int) -> None:
         """Sends a request in the background.
 
--- a/src/heatherpier/quotas/_rate_limits.py
+++ b/src/heatherpier/quotas/_rate_limits.py
@@ -6,6 +6,7 @@
 
 from heatherpier.fleet import Peer, PeerNetwork
 from heatherpier.leases import FleetView
+from heatherpier.quotas._buckets import QuotaWindow
 from heatherpier.quotas._fleet_rows import FleetRows
 from heatherpier.quotas._gate import QuotaGate
 from heatherpier.quotas._metrics import QuotaMetrics
@@ -29,6 +30,9 @@
         distance: Returns the distance of a data centre.
         metrics: Registry of metrics.
         timers: Timer service.
+        window: Windows in which the limits hold.
+        started_at: Time in seconds by `Timers.elapsed` at which the process was
+            started; None for now.
 
     Attributes:
         gate: Admits operations.
@@ -46,6 +50,8 @@
         distance: Callable[[str], int],
         metrics: CollectorRegistry,
         timers: Timers,
+        window: QuotaWindow,
+        started_at: float | None = None,
     ) -> None:
         rows = FleetRows(me, view=view, timers=timers)
         self.gate = QuotaGate(
@@ -56,6 +62,8 @@
             distance=distance,
             timers=timers,
             metrics=QuotaMetrics(metrics),
+            window=window,
+            started_at=started_at,
         )
         proof = RowProof(
             me.name,
--- a/src/heatherpier/quotas/_row_proof.py
+++ b/src/heatherpier/quotas/_row_proof.py
@@ -19,6 +19,8 @@
 class RowProof:
     """Writes, twice for each registration, that this proxy's row has stood long enough.
 
+    Allocators and their standbys do so.
+
     Without it, an allocator that restarts could not tell whether its row is older than
     the copies of others, some of which may lack it.
 
@@ -69,7 +71,7 @@
 
     def _due(self) -> bool:
         rows = self._rows
-        if self._me not in rows.first() or rows.is_settled():
+        if self._me not in rows.proving() or rows.is_settled():
             return False
         if rows.is_proven():
             return rows.proven_s() >= SETTLED_AFTER_S
