Quotas: allocators make up for missing ones as far as the window's excess allows

Cause: a lost or cut-off allocator's fifth is missing for 12.5 s, so organisations at 0.6 to 0.9 of their limits are short with two of five gone. Change: while others are missing, are silent or create no rights, the rest create up to (window's bound - stock) / rate, 1.11 times the rate for an equal burst; all five at once would still stay within the window.

--- a/src/heatherpier/quotas/_policies.py
+++ b/src/heatherpier/quotas/_policies.py
@@ -59,4 +59,4 @@
     """
 
     start: StartPolicy = field(default_factory=FilledSinceStart)
-    loss: LossPolicy = field(default_factory=FixedShares)
+    loss: LossPolicy = field(default_factory=RaisedShares)
--- a/src/heatherpier/quotas/tests/test_starts_and_losses.py
+++ b/src/heatherpier/quotas/tests/test_starts_and_losses.py
@@ -80,3 +80,23 @@
         await start_all(limited)
     await load.run(400.0, 3.0)
     assert load.worst_excess() <= 0
+
+
+async def test_usual_demand_is_served_without_two_allocators(load):
+    """Load: two of five allocators are cut off from store and peers, and come back.
+
+    Guards against shares that are missing until the lost ones count as absent.
+    """
+    limited = load.deployment
+    cut = allocators(limited)[:2]
+    callers = [name for name in limited.names if name not in cut]
+    for name in cut:
+        limited.isolate(name)
+    await load.run(USUAL_PER_S, 2.0, proxy=callers[0])
+    for second in range(20):
+        name = callers[second % len(callers)]
+        assert await load.run(USUAL_PER_S, 1.0, proxy=name) >= 0.98, second
+        if second == 7:
+            for lost in cut:
+                limited.rejoin(lost)
+    assert load.worst_excess(missing=2) <= 0
