Quotas: standbys prove their rows, and silent allocators are asked again sooner

After a loss of power 356 operations were refused since allocators that had not yet started were avoided for 1 s. Change: the first ten members prove their rows; a silent allocator is avoided for 0.25 s at first.

--- a/src/heatherpier/quotas/_allocators.py
+++ b/src/heatherpier/quotas/_allocators.py
@@ -13,7 +13,7 @@
 ALLOCATORS = 5
 # Number of members, in the same order, that prove their rows. They include those that
 # become allocators when others are lost, which then need no further wait.
-STANDBYS = ALLOCATORS
+STANDBYS = 2 * ALLOCATORS
 # Maximum age of an allocator's copy of the members' table, and minimum time for which
 # its own row has stood. Leases on primaries end 9.4 s after the store has been lost, so
 # a longer time would serve little more.
--- a/src/heatherpier/quotas/_links.py
+++ b/src/heatherpier/quotas/_links.py
@@ -18,8 +18,8 @@
 SLOW_S = 0.08
 # Time for which an allocator that did not answer is not asked; it doubles with each
 # further failure.
-AVOID_S = 1.0
-MAX_AVOID_S = 8.0
+AVOID_S = 0.25
+MAX_AVOID_S = 4.0
 # Time for which a proxy is not asked after it said that it is no allocator.
 INACTIVE_S = 0.2
 
--- a/src/heatherpier/quotas/tests/test_starts_and_losses.py
+++ b/src/heatherpier/quotas/tests/test_starts_and_losses.py
@@ -7,6 +7,7 @@
 import pytest
 
 from heatherpier.bench import SimulatedDeployment
+from heatherpier.quotas._allocators import MAX_VIEW_AGE_S
 from heatherpier.quotas.tests.test_whole_proxies import PROVEN_S, Load
 
 PROXIES = 12
@@ -100,3 +101,38 @@
             for lost in cut:
                 limited.rejoin(lost)
     assert load.worst_excess(missing=2) <= 0
+
+
+async def test_standbys_take_over_from_allocators_that_registered_again(load):
+    """Load: two allocators are removed while they are cut off, and register again.
+
+    Guards against places that nobody takes, because those next in order have no proof
+    and count the returned ones.
+    """
+    limited = load.deployment
+    cut = allocators(limited)[:2]
+    for name in cut:
+        limited.isolate(name)
+    await limited.timers.sleep(7.0)
+    for name in cut:
+        limited.rejoin(name)
+    await limited.timers.sleep(3.0)
+    now = set(allocators(limited))
+    assert len(now) == 5
+    assert not now & set(cut)
+
+
+async def test_rights_outlive_the_store(load):
+    """Load: the store answers nobody for as long as copies of members may be used.
+
+    Guards against limits that nobody may spend while nothing can be agreed. Primaries
+    can't be used for quite as long, so only the reason of refusals is checked.
+    """
+    limited = load.deployment
+    limited.store.faults.unresponsive_to.update(limited.names)
+    await load.run(USUAL_PER_S, MAX_VIEW_AGE_S - WATCH_S)
+    reasons = {refusal.reason for refusal in load.refusals}
+    assert "rate limit of the organisation" not in reasons
+    limited.store.faults.unresponsive_to.clear()
+    await limited.timers.sleep(RECOVERY_S)
+    assert await load.run(USUAL_PER_S, 3.0) >= 0.98
