Quotas: any earlier proof tells that a joining member has to wait

Change: a member whose row is later than any proof is left out until it may create; its own copy, which has its row, shows that proof, so the shorter times of a new deployment don't apply to it.

--- a/src/heatherpier/quotas/_fleet_rows.py
+++ b/src/heatherpier/quotas/_fleet_rows.py
@@ -57,8 +57,9 @@
         self._proven_since = float("inf")
         self._own_since = float("inf")
         self._restored_at = float("-inf")
-        # Whether any member's row was ever proven to have stood long enough.
-        self._any_proof = False
+        # Lowest version of a proof of any member, without the epoch; infinite as long
+        # as no member's row was ever proven to have stood long enough.
+        self._first_proof = float("inf")
         self._first: tuple[str, ...] | None = None
         self._standbys: tuple[str, ...] = ()
         view.copy.subscribe(self._apply)
@@ -80,7 +81,7 @@
             running_s=now - self._began,
             proven=self.is_proven() and self._restored_for_s() >= MAX_VIEW_AGE_S,
             settled=self.is_settled() and self._view.copy.epoch == 0,
-            none_proven=not self._any_proof
+            none_proven=self._first_proof == float("inf")
             and since == float("-inf")
             and self._view.copy.epoch == 0,
         )
@@ -190,27 +191,29 @@
             self._versions.pop(name, None)
         elif self._versions.get(name) != number_of(row.version):
             self._versions[name] = number_of(row.version)
-            self._note_joined(name)
+            self._note_joined(row)
         if name == self._me.name:
             self._apply_own(row)
 
-    def _note_joined(self, name: str) -> None:
+    def _note_joined(self, row: Row) -> None:
         """Leaves a new member out of the first ones until it may create rights.
 
         It joined after the copy was complete without it, and writes its proof
         `PROOF_AFTER_S` later at the earliest. Members of a new deployment create sooner;
-        a settled proof of this proxy's row, which they see, shows that it is none.
+        an earlier proof, which every copy with this row shows, tells that it is none.
 
         A member that was removed registers again once it knows of that, and has ceased
         to create rights then.
         """
+        name = row.key.removeprefix(MEMBER_PREFIX)
         complete_at = self._timers.elapsed() - self._view.copy.age_s()
-        if self.is_settled() and self._view.copy.epoch == 0:
+        is_later = self._first_proof < number_of(row.version)
+        if is_later and self._view.copy.epoch == 0:
             self._joining_until[name] = complete_at + JOINING_S
             self._removed_at.pop(name, None)
 
     def _note_proof(self, row: Row) -> None:
-        self._any_proof = True
+        self._first_proof = min(self._first_proof, number_of(row.version))
         name = row.key.removeprefix(STOOD_PREFIX)
         if name == self._me.name:
             self._proven_since = min(self._proven_since, self._timers.elapsed())
--- a/src/heatherpier/quotas/tests/test_random_faults.py
+++ b/src/heatherpier/quotas/tests/test_random_faults.py
@@ -92,6 +92,18 @@
     )
 
 
+def leave_out_members_of_a_new_deployment(patch):
+    """A member that joins is left out although no proof tells it to wait."""
+    note = _fleet_rows.FleetRows._note_joined
+
+    def note_after_a_proof(self, row):
+        known, self._first_proof = self._first_proof, -1
+        note(self, row)
+        self._first_proof = known
+
+    patch.setattr(_fleet_rows.FleetRows, "_note_joined", note_after_a_proof)
+
+
 def fill_from_before_the_start(patch):
     """The buckets of a process hold what an earlier incarnation may have given."""
     patch.setattr(
@@ -119,6 +131,7 @@
         (ignore_proofs_of_others, {"only": "add_and_restart"}),
         (use_old_views_without_proof, {"only": "add_and_restart"}),
         (forget_proven_non_members, {"only": "replace_unseen"}),
+        (leave_out_members_of_a_new_deployment, {"only": "restart_one"}),
         (fill_from_before_the_start, {"only": "restart_all_repeatedly"}),
         (
             raise_shares_without_limit,
