--- a/src/heatherpier/quotas/tests/_model.py
+++ b/src/heatherpier/quotas/tests/_model.py
@@ -47,6 +47,27 @@
     elapsed = now
 
 
+@dataclass(frozen=True)
+class Build:
+    """The classes of one version of the product that a process runs.
+
+    Args:
+        has_policies: Whether its allocators take a policy and the start of the process.
+    """
+
+    fleet_view: type = FleetView
+    table_copy: type = TableCopy
+    fleet_rows: type = FleetRows
+    row_proof: type = RowProof
+    buckets: type = Buckets
+    rate: type = Rate
+    issuer: type = RightsIssuer
+    has_policies: bool = True
+
+
+PRESENT = Build()
+
+
 @dataclass
 class Process:
     """One run of a proxy's process."""
@@ -56,6 +77,7 @@
     rows: FleetRows
     issuer: RightsIssuer
     proof: RowProof
+    build: "Build"
     rate: Rate
     ledger: Ledger = field(default_factory=Ledger)
     buckets: Buckets | None = None
@@ -87,13 +109,22 @@
         gives_again: Seeded fault: the rights of an answer that takes long are given
             again.
         policy: How allocators begin and make up for each other.
+        builds: Versions of the product; each start of a process draws one.
     """
 
     def __init__(
-        self, seed, *, only=None, late_counts=False, gives_again=False, policy=None
+        self,
+        seed,
+        *,
+        only=None,
+        late_counts=False,
+        gives_again=False,
+        policy=None,
+        builds=(PRESENT,),
     ):
         self.rng = random.Random(seed)
         self.policy = policy or QuotaPolicy()
+        self.builds = builds
         self.timers = ModelTimers()
         self.store = MemoryRowStore(timers=self.timers)
         self.late_counts, self.gives_again = late_counts, gives_again
@@ -236,24 +267,29 @@
 
     def start(self, name, *, reads_peer=False):
         """Starts a process, in place of the one that runs under that name."""
-        timers = self.timers
+        timers, builds = self.timers, self.builds
+        build = self.rng.choice(builds) if len(builds) > 1 else builds[0]
         peer = Peer(name=name, host=name, port=1, data_centre="north")
-        view = FleetView(TableCopy(FLEET_TABLE, timers=timers), timers=timers)
-        rows = FleetRows(peer, view=view, timers=timers)
-        proof = RowProof(
+        view = build.fleet_view(
+            build.table_copy(FLEET_TABLE, timers=timers), timers=timers
+        )
+        rows = build.fleet_rows(peer, view=view, timers=timers)
+        proof = build.row_proof(
             name, rows=rows, store=None, needed=lambda: True, timers=timers
         )
-        buckets = Buckets(lambda _: process.rate)
-        issuer = RightsIssuer(
+        buckets = build.buckets(
+            lambda _: build.rate(process.rate.per_s, process.rate.burst)
+        )
+        options = {"policy": self.policy, "started_at": timers.time}
+        issuer = build.issuer(
             name,
             rows=rows,
             buckets=buckets,
             timers=timers,
-            policy=self.policy,
-            started_at=timers.time,
+            **(options if build.has_policies else {}),
         )
         old = self.configured if self.all_configured_at is None else OLD
-        process = Process(peer, view, rows, issuer, proof, old, buckets=buckets)
+        process = Process(peer, view, rows, issuer, proof, build, old, buckets=buckets)
         process.reads_peer = reads_peer
         self.running[name] = process
         if self.rng.random() < 0.9:
@@ -358,7 +394,8 @@
         bunched, phase = self.spends is None, round(now % CYCLE_S, 6)
         for process in list(self.running.values()):
             process.issuer.update()
-            process.issuer.note_silent(())
+            if process.build.has_policies:
+                process.issuer.note_silent(())
             for other in self.allocators():
                 asks = (
                     phase == 0 or phase >= self.asks_at
