Forwarding: a request that was sent after its home restarted has surely not run

Ruled out: taking every such answer as not run, since a copy may have run at the process that ended (a directed test with that fault runs a write twice). Change: the answer tells the age of the home's process; the sender compares it with the age of its request, and asks the next home if the request is the younger one. Commits of transactions that the ended process held are aborted. An older home states no age, and the outcome stays unknown; an older sender ignores the field.

--- a/src/heatherpier/forwarding/_link.py
+++ b/src/heatherpier/forwarding/_link.py
@@ -4,6 +4,8 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
+import msgspec
+
 from heatherpier.discovery import InstanceRecord
 from heatherpier.fleet import PeerNetwork, PeerUnreachableError
 from heatherpier.forwarding._loads import HomeLoads
@@ -35,6 +37,9 @@
 # The network gives a request up this much later than the connection does. The network
 # counts its own time-outs against its socket, which may be fine.
 NETWORK_MARGIN_S = 1.0
+# A request counts as sent after the start of the home's process if it was sent by more
+# than this time later. It covers the drift of both clocks meanwhile.
+RESTART_MARGIN_S = 0.05
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -162,7 +167,7 @@
         context = self._context
         if self._pinned_at is None:
             self._home_incarnation = await context.monitor.incarnation(home)
-        now = context.timers.now()
+        now, sent_at = context.timers.now(), context.timers.elapsed()
         left_s = max(self.answer_by - now, 0.0)
         self._step += 1
         req = self._make_request(calls, now=now, left_s=left_s)
@@ -193,8 +198,23 @@
             context.metrics.forwarded.labels(result).inc()
             context.monitor.end(home, self._fail_request, answered=answered)
         self._note_answer(home, answer, sent_at=now)
+        if answer.restarted and self._followed_restart(answer, sent_at):
+            # The earlier process had ended, and this one refuses each copy.
+            return msgspec.structs.replace(
+                answer, lost="", not_run="the home had restarted before"
+            )
         return answer
 
+    def _followed_restart(self, answer: ForwardAnswer, sent_at: float) -> bool:
+        """Returns whether a request was sent after the home's process had started.
+
+        Args:
+            answer: The home's answer.
+            sent_at: Time in seconds by `Timers.elapsed` at which the request was sent.
+        """
+        began_by = self._context.timers.elapsed() - answer.running_ms / MS_PER_S
+        return sent_at > began_by + RESTART_MARGIN_S
+
     async def _send(
         self, home: MemberRecord, req: ForwardRequest, *, timeout_s: float
     ) -> ForwardAnswer:
--- a/src/heatherpier/forwarding/_messages.py
+++ b/src/heatherpier/forwarding/_messages.py
@@ -91,6 +91,8 @@
         unreachable: Whether the home could not connect to the instance.
         stopping: Whether the home is about to end.
         restarted: Whether the request was for another incarnation of the home.
+        running_ms: Age of the home's process in milliseconds, if it has restarted; 0 in
+            answers of older builds.
         pinned: Whether a transaction is open on a connection held for the link.
         waiting: Requests and statements that wait for a connection at the home.
         in_use: Connections of the home to the instance that are in use.
@@ -104,6 +106,7 @@
     unreachable: bool = False
     stopping: bool = False
     restarted: bool = False
+    running_ms: float = 0
     pinned: bool = False
     waiting: int = 0
     in_use: int = 0
--- a/src/heatherpier/forwarding/_server.py
+++ b/src/heatherpier/forwarding/_server.py
@@ -166,6 +166,7 @@
         self._notes = notes
         self._metrics = metrics
         self._timers = timers
+        self._began = timers.elapsed()
         self._stopping = False
         self._waiting = WaitingRequests()
         # Waits for a connection, by link. A link has one request at a time.
@@ -211,7 +212,11 @@
             return self._answered(
                 key,
                 req,
-                ForwardAnswer(lost="the home has restarted", restarted=True),
+                ForwardAnswer(
+                    lost="the home has restarted",
+                    restarted=True,
+                    running_ms=(self._timers.elapsed() - self._began) * MS_PER_S,
+                ),
             )
         running = self._running.get((key, req.step))
         if running is not None:
--- a/src/heatherpier/forwarding/tests/test_failures.py
+++ b/src/heatherpier/forwarding/tests/test_failures.py
@@ -2,11 +2,12 @@
 
 import asyncio
 
+import msgspec
 import pytest
 
 from heatherpier.bench import _simulated_link, ask
 from heatherpier.bench._simulated_deployment import STATEMENT_TIMEOUT_S
-from heatherpier.forwarding import ForwardRequest, _queue
+from heatherpier.forwarding import ForwardRequest, _link, _queue
 from heatherpier.statements import Code, Done
 
 
@@ -159,6 +160,86 @@
     assert len(clubs.ran("WRITE a")) == 1
 
 
+async def test_request_after_a_restart_of_the_home_is_served_by_another(clubs, timers):
+    """Load: proxies restart in turn, and their senders have not noticed yet.
+
+    Guards against "may have run" for a write that no process of the home received.
+    """
+    home, other = clubs.homes()
+    await clubs.write()
+    await clubs.kill(home)
+    await timers.sleep(0.01)
+    await clubs.start(home)
+    await timers.sleep(0.1)
+    assert isinstance(await clubs.write(), Done)
+    assert len(clubs.ran("WRITE a")) == 2
+    assert clubs.primary.name in clubs.direct_connections(other)
+
+
+@pytest.mark.parametrize("checks_age", [True, False])
+async def test_copy_that_reaches_the_next_process_of_the_home_is_not_run_again(
+    clubs, timers, monkeypatch, checks_age
+):
+    """Guards against "not run" for a write that the ended process of the home ran.
+
+    Without the check of the home's age, the write is sent again and runs twice.
+    """
+    home, _ = clubs.homes()
+    await clubs.write()
+    if not checks_age:
+        monkeypatch.setattr(
+            _link.RemoteLink, "_followed_restart", lambda self, answer, sent_at: True
+        )
+    clubs.fleet.double_rate = 1.0
+    delays = iter([0.0, 0.04])
+    monkeypatch.setattr(clubs.fleet, "draw_extra_delay_s", lambda: next(delays, 0.0))
+    writing = asyncio.create_task(clubs.write())
+    await timers.sleep(0.016)
+    assert len(clubs.ran("WRITE a")) == 2
+    clubs.fleet.double_rate = 0.0
+    await clubs.kill(home)
+    await timers.sleep(0.01)
+    await clubs.start(home)
+    outcome = await writing
+    if checks_age:
+        assert outcome.code is Code.OUTCOME_UNKNOWN
+    assert len(clubs.ran("WRITE a")) == (2 if checks_age else 3)
+
+
+async def test_commit_after_a_restart_of_the_home_is_aborted(clubs, timers):
+    """Guards against an unknown outcome of a transaction that was surely rolled back."""
+    home, _ = clubs.homes()
+    session = clubs.session()
+    for text in ("BEGIN", "WRITE a"):
+        await ask(session, text)
+    await clubs.kill(home)
+    await timers.sleep(0.01)
+    await clubs.start(home)
+    await timers.sleep(0.1)
+    assert (await ask(session, "COMMIT")).outcome.code is Code.ABORTED
+
+
+async def test_answer_of_an_older_build_after_a_restart_leaves_the_outcome_unknown(
+    clubs, timers, monkeypatch
+):
+    """Guards against "not run" without the age of the home's process."""
+    home, _ = clubs.homes()
+    await clubs.write()
+    await clubs.kill(home)
+    await timers.sleep(0.01)
+    await clubs.start(home)
+    await timers.sleep(0.1)
+    answered = clubs.server(home)._answered
+    monkeypatch.setattr(
+        clubs.server(home),
+        "_answered",
+        lambda key, req, answer: answered(
+            key, req, msgspec.structs.replace(answer, running_ms=0)
+        ),
+    )
+    assert (await clubs.write()).code is Code.OUTCOME_UNKNOWN
+
+
 async def test_late_answer_leaves_the_connection_of_the_home_usable(
     clubs, timers, monkeypatch
 ):
