Quotas: joining members take a place only shortly before they may create rights

Change: a joining member is left out for 12.25 s instead of 11.5 s after the last copy without its row; it writes its proof 12.5 s after its row, in either build, and clocks drift far less than 0.25 s in that time.

--- a/src/heatherpier/quotas/_fleet_rows.py
+++ b/src/heatherpier/quotas/_fleet_rows.py
@@ -21,7 +21,7 @@
 # the first one need no pause then.
 PROOF_AFTER_S = MAX_VIEW_AGE_S + 3.0
 # Time after which a new member counts, with a margin for slow clocks.
-JOINING_S = PROOF_AFTER_S - 1.0
+JOINING_S = PROOF_AFTER_S - 0.25
 # Age of the copy up to which a restore of the store leaves the standing of this
 # proxy's row as it is. Up to this age, those that saw a removal which the restore undid
 # count the row as present for as long as their copies may be used.
