Soak: proxies alternate between the build in production and the present one

Cause: messages, rows, leases and sessions of both builds side by side were only reasoned about. Change: each start of a proxy runs the other build, read from the repository's history; half of the proxies begin with the one in production. Limit: the soak has no organisations, so rights of both builds together are covered by the model only.

--- a/src/heatherpier/platform/tests/test_soak.py
+++ b/src/heatherpier/platform/tests/test_soak.py
@@ -18,6 +18,7 @@
 )
 from heatherpier.platform.tests._deployment import PROXY_PROGRAM
 from heatherpier.platform.tests._soak import run_seed
+from heatherpier.tests._production import extract_production
 
 FAULTS_S = 12.0
 # With fewer acknowledged writes, the checks prove too little.
@@ -35,6 +36,19 @@
 # the table anew. It is also tested in platform/tests/test_store.py.
 RESTORE_SEEDS = (201, 604, *range(int(FIRST) + 1, int(LAST) + 1))
 
+UPGRADE_SEEDS = (801, *range(int(FIRST) + 1, int(LAST) + 1))
+# Runs the build in production at each second start of a proxy; odd proxies begin with
+# it.
+ALTERNATE_BUILDS = """
+import sys
+from pathlib import Path
+settings = Path(sys.argv[1])
+starts = settings.with_suffix(".starts")
+count = len(starts.read_text()) if starts.exists() else 0
+starts.write_text("x" * (count + 1))
+if (count + int(settings.stem.rpartition("-")[2])) % 2:
+    sys.path.insert(0, {sources!r})
+"""
 LOST_ANSWER_SEEDS = (301, *range(int(FIRST) + 1, int(LAST) + 1))
 
 
@@ -159,6 +173,21 @@
     check_seed(*await run_seed(tmp_path, seed=seed, duration_s=FAULTS_S, restores=True))
 
 
+@pytest.mark.parametrize("seed", UPGRADE_SEEDS)
+async def test_guarantees_hold_while_the_build_in_production_is_replaced(
+    tmp_path, seed
+):
+    """Each proxy runs the other build after each end, so both run side by side."""
+    sources = extract_production(tmp_path / "production")
+    folder = tmp_path / "run"
+    folder.mkdir()
+    program = ALTERNATE_BUILDS.format(sources=str(sources)) + PROXY_PROGRAM
+    check_seed(*await run_seed(folder, seed=seed, duration_s=FAULTS_S, program=program))
+    starts = [path.read_text() for path in folder.glob("*.starts")]
+    assert len(starts) > 1
+    assert max(len(text) for text in starts) > 1
+
+
 @pytest.mark.parametrize("name", FAULT_NAMES)
 async def test_a_seeded_fault_is_detected(tmp_path, name):
     fault = SEEDED_FAULTS[name]
--- a/src/heatherpier/quotas/tests/test_versions.py
+++ b/src/heatherpier/quotas/tests/test_versions.py
@@ -1,41 +1,23 @@
 """The version in production and the present one create no more rights together."""
 
 import importlib
-import io
-import subprocess
 import sys
-import tarfile
-import tomllib
-from pathlib import Path
 
 import pytest
 
 from heatherpier.quotas._policies import FixedShares, QuotaPolicy
 from heatherpier.quotas.tests._model import PRESENT, Build, Model
+from heatherpier.tests._production import extract_production, git, production_commit
 
-ROOT = Path(__file__).parents[4]
 PACKAGE = "heatherpier_production"
 
 
-def git(*args):
-    return subprocess.run(["git", *args], cwd=ROOT, check=True, capture_output=True)
-
-
-@pytest.fixture(scope="module")
-def commit():
-    """The commit in production."""
-    settings = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
-    return settings["production"]
-
-
 @pytest.fixture(scope="module")
-def production(commit, tmp_path_factory):
-    """The build in production, from the repository's history, under another name."""
+def production(tmp_path_factory):
+    """The build in production, under another name."""
     folder = tmp_path_factory.mktemp("production")
-    archive = io.BytesIO(git("archive", commit, "src/heatherpier").stdout)
-    with tarfile.open(fileobj=archive) as files:
-        files.extractall(folder, filter="data")
-    package = (folder / "src" / "heatherpier").rename(folder / PACKAGE)
+    sources = extract_production(folder)
+    package = (sources / "heatherpier").rename(folder / PACKAGE)
     for path in package.rglob("*.py"):
         # Metrics get other names too, so both builds can register theirs.
         path.write_text(path.read_text().replace("heatherpier", PACKAGE))
@@ -57,9 +39,9 @@
         sys.path.remove(str(folder))
 
 
-def test_version_in_production_is_an_ancestor(commit):
+def test_version_in_production_is_an_ancestor():
     """Guards against a version that no history builds."""
-    git("merge-base", "--is-ancestor", commit, "HEAD")
+    git("merge-base", "--is-ancestor", production_commit(), "HEAD")
 
 
 @pytest.mark.parametrize("seed", range(10))
