Quotas: shares are raised only while allocators are missing

Cause: an allocator that once did not answer and was not asked again counted as silent for good, so shares stayed raised (read in the code; the new test fails before). Change: silence is forgotten 2 s after the allocator might have been asked again; proxies that are no allocators don't log it.

--- a/src/heatherpier/quotas/_gate.py
+++ b/src/heatherpier/quotas/_gate.py
@@ -130,7 +130,7 @@
             if not self.in_use:
                 continue
             self._issuer.update()
-            self._issuer.note_silent(self._links.silent())
+            self._issuer.note_silent(self._links.silent(self._timers.elapsed()))
             if self._version != self._routes.table.version:
                 self._version = self._routes.table.version
                 self._buckets.update_rates(self._timers.elapsed())
--- a/src/heatherpier/quotas/_issuer.py
+++ b/src/heatherpier/quotas/_issuer.py
@@ -119,7 +119,10 @@
                 present = self._rows.members().keys() - set(names) | {self._me}
         missing = sum(name not in present for name in self._rows.first())
         if missing != self._missing:
-            log.info("missing allocators changed", before=self._missing, now=missing)
+            if self.active:
+                log.info(
+                    "missing allocators changed", before=self._missing, now=missing
+                )
             self._missing = missing
             self._buckets.set_missing(missing, self._timers.elapsed())
 
--- a/src/heatherpier/quotas/_links.py
+++ b/src/heatherpier/quotas/_links.py
@@ -22,6 +22,8 @@
 MAX_AVOID_S = 4.0
 # Time for which a proxy is not asked after it said that it is no allocator.
 INACTIVE_S = 0.2
+# Time after that for which it still counts as silent, unless it is asked again.
+SILENT_KNOWN_S = 2.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -103,9 +105,13 @@
             if (avoided := self._avoided.get(name)) is None or now >= avoided.until
         ]
 
-    def silent(self) -> list[str]:
-        """Returns the allocators whose last answer was missing or had no rights."""
-        return list(self._avoided)
+    def silent(self, now: float) -> list[str]:
+        """Returns the allocators that lately did not answer or created no rights."""
+        return [
+            name
+            for name, avoided in self._avoided.items()
+            if now < avoided.until + SILENT_KNOWN_S
+        ]
 
     def send(self, peer: Peer, asks: Mapping[str, float], *, version: int) -> None:
         """Sends a request in the background.
--- a/src/heatherpier/quotas/tests/test_starts_and_losses.py
+++ b/src/heatherpier/quotas/tests/test_starts_and_losses.py
@@ -8,6 +8,7 @@
 
 from heatherpier.bench import SimulatedDeployment
 from heatherpier.quotas._allocators import MAX_VIEW_AGE_S
+from heatherpier.quotas._links import MAX_AVOID_S, SILENT_KNOWN_S
 from heatherpier.quotas.tests.test_whole_proxies import PROVEN_S, Load
 
 PROXIES = 12
@@ -52,6 +53,22 @@
     ]
 
 
+async def test_shares_are_raised_only_while_allocators_are_missing(load):
+    """Load: all VMs lose power, and some ask allocators that have not started yet.
+
+    Guards against shares that stay raised after one unanswered request.
+    """
+    limited = load.deployment
+    await stop_all(limited)
+    for name in limited.names:
+        await limited.start(name, started_ago_s=IMPORTS_S)
+        await load.run(USUAL_PER_S, 0.1, proxy=name)
+    issuers = [engine.context.quotas._issuer for engine in limited.engines.values()]
+    assert any(issuer._missing for issuer in issuers)
+    await limited.timers.sleep(SILENT_KNOWN_S + MAX_AVOID_S)
+    assert not any(issuer._missing for issuer in issuers)
+
+
 @pytest.mark.parametrize("down_s", [1.0, 2.0, 5.0, 20.0])
 async def test_usual_demand_is_served_when_all_proxies_return(load, down_s):
     """Load: all VMs lose power and their callers return at once.
