--- a/src/heatherpier/_cli.py
+++ b/src/heatherpier/_cli.py
@@ -15,7 +15,7 @@
   heatherpier bench restart [--deployment=NAME] [--proxies=N] [--seed=N]
   heatherpier bench writes
   heatherpier bench reads [--deployment=NAME] [--proxies=N] [--seed=N]
-  heatherpier bench quotas [--proxies=N] [--seed=N]
+  heatherpier bench quotas [--proxies=N] [--lost=N] [--shares=NAME] [--seed=N]
   heatherpier bench overload [--proxies=N] [--seed=N]
   heatherpier bench order [--seeds=N] [--seed=N]
   heatherpier bench failover
@@ -44,6 +44,9 @@
   --proxies=N        Count of proxies [default: 4].
   --seed=N           Seed of all random choices; for faults and order, the first.
   --seeds=N          Count of fault runs, or of runs of each load [default: 1].
+  --lost=N           Count of allocators that are lost at the start [default: 0].
+  --shares=NAME      Shares of allocators while others are missing: fixed or raised
+                     [default: raised].
   --rate=N           Operations a second in each group [default: 30].
   --seconds=N        Time over which operations arrive [default: 20].
   --nodes=N          Count of proxies in the scale run [default: 200].
--- a/src/heatherpier/bench/_commands.py
+++ b/src/heatherpier/bench/_commands.py
@@ -24,8 +24,14 @@
 from heatherpier.bench._read_share import READ_MIXES, run_reads
 from heatherpier.bench._scale import run_scale
 from heatherpier.bench._write_cost import print_write_costs
+from heatherpier.quotas import FixedShares, LossPolicy, RaisedShares
 from heatherpier.settings import InvalidSettingsError
 
+# What allocators create while others are missing, by name.
+LOSS_POLICIES: Mapping[str, LossPolicy] = {
+    "fixed": FixedShares(),
+    "raised": RaisedShares(),
+}
 EXIT_OK = 0
 EXIT_FAILED = 1
 RANDOM_SEED_LIMIT = 1_000_000
@@ -110,7 +116,17 @@
 
 def _run_quotas(args: Mapping[str, Any]) -> int:
     proxies = _integer(args, "--proxies", minimum=1)
-    print(json.dumps(run_quotas(proxies=proxies, seed=_seed(args)), indent=1))
+    shares = args["--shares"]
+    if shares not in LOSS_POLICIES:
+        known = ", ".join(LOSS_POLICIES)
+        raise InvalidSettingsError("--shares", [f"expected {known}, got {shares!r}"])
+    figures = run_quotas(
+        proxies=proxies,
+        seed=_seed(args),
+        lost=_integer(args, "--lost", minimum=0),
+        loss=LOSS_POLICIES[shares],
+    )
+    print(json.dumps(figures, indent=1))
     return EXIT_OK
 
 
--- a/src/heatherpier/bench/_quotas.py
+++ b/src/heatherpier/bench/_quotas.py
@@ -20,10 +20,13 @@
 from heatherpier.quotas import (
     QUOTA_MESSAGES,
     FleetRows,
+    LossPolicy,
     QuotaGate,
     QuotaMetrics,
+    QuotaPolicy,
     Rate,
     Right,
+    first_allocators,
 )
 from heatherpier.routing import ActiveRoutes, Organisation, RoutingTable
 from heatherpier.tables import Changes, Row, TableCopy
@@ -36,6 +39,8 @@
 # Longest wait for a right, a quarter of a latency objective of 0.5 s.
 WAIT_S = 0.125
 USUAL_ORGANISATIONS = 20
+# Time after which allocators that are cut off are removed from the members.
+REMOVAL_S = 2.0
 
 
 @dataclass(slots=True, kw_only=True)
@@ -63,8 +68,12 @@
         """Count of admitted operations."""
         return sum(len(times) for times in self.admitted_at.values())
 
-    def as_dict(self) -> dict[str, Any]:
-        """Returns the figures."""
+    def as_dict(self, *, missing: int) -> dict[str, Any]:
+        """Returns the figures.
+
+        Args:
+            missing: Number of allocators whose shares others may make up for.
+        """
         asked = self.served + self.refused
         return {
             "operations": asked,
@@ -74,7 +83,10 @@
                 self.served / (self.limit.per_s * LOAD_S * len(self.names)), 4
             ),
             "worst_window_minus_bound": round(
-                max(_excess(times, self.limit) for times in self.admitted_at.values()),
+                max(
+                    _excess(times, self.limit, missing)
+                    for times in self.admitted_at.values()
+                ),
                 2,
             ),
         }
@@ -98,27 +110,39 @@
     }
 
 
-def run_quotas(*, proxies: int, seed: int) -> dict[str, Any]:
+def run_quotas(
+    *, proxies: int, seed: int, lost: int = 0, loss: LossPolicy | None = None
+) -> dict[str, Any]:
     """Runs one fleet under virtual time and returns its figures.
 
     Args:
         proxies: Count of proxies.
         seed: Seed of the run.
+        lost: Count of allocators that are cut off when the load begins, and removed
+            `REMOVAL_S` later.
+        loss: What allocators create while others are missing; by default as the
+            product.
     """
     loop = VirtualTimeLoop()
     try:
         with logbook.NullHandler().applicationbound():
-            return loop.run_until_complete(_run(proxies, seed))
+            policy = QuotaPolicy() if loss is None else QuotaPolicy(loss=loss)
+            return loop.run_until_complete(_run(proxies, seed, lost, policy))
     finally:
         loop.close()
 
 
-async def _run(proxies: int, seed: int) -> dict[str, Any]:
-    return await _QuotaRun(proxies, seed).run()
+async def _run(
+    proxies: int, seed: int, lost: int, policy: QuotaPolicy
+) -> dict[str, Any]:
+    return await _QuotaRun(proxies, seed, lost=lost, policy=policy).run()
 
 
 class _QuotaRun:
-    def __init__(self, proxies: int, seed: int) -> None:
+    def __init__(
+        self, proxies: int, seed: int, *, lost: int, policy: QuotaPolicy
+    ) -> None:
+        self._policy = policy
         self._timers = LoopTimers(wall_offset_s=0)
         self._rng = random.Random(seed)
         self._fleet = MemoryFleet(
@@ -139,6 +163,15 @@
         self._routes = ActiveRoutes()
         self._routes.replace_if_newer(_make_table(self._loads))
         self._gates = [self._make_gate(peer) for peer in self._peers]
+        first = first_allocators([peer.name for peer in self._peers])
+        self._lost = set(first[:lost])
+        # Callers are at the other proxies.
+        self._present = [
+            gate
+            for gate, peer in zip(self._gates, self._peers, strict=True)
+            if peer.name not in self._lost
+        ]
+        self._removed = False
 
     def _make_gate(self, me: Peer) -> QuotaGate:
         return QuotaGate(
@@ -149,6 +182,7 @@
             distance=lambda name: int(name != me.data_centre),
             timers=self._timers,
             metrics=QuotaMetrics(CollectorRegistry()),
+            policy=self._policy,
         )
 
     async def run(self) -> dict[str, Any]:
@@ -156,6 +190,9 @@
         tasks = [asyncio.create_task(gate.run()) for gate in self._gates]
         tasks.append(asyncio.create_task(self._refresh()))
         await self._timers.sleep(SETTLE_S)
+        for name in self._lost:
+            self._fleet.stop(name)
+        tasks.append(asyncio.create_task(self._remove_lost()))
         messages, began = self._fleet.message_count, time.process_time()
         await asyncio.gather(
             *(
@@ -175,9 +212,16 @@
             "proxies": len(self._peers),
             "messages_per_operation": round(messages / operations, 3),
             "cpu_us_per_operation": round(cpu_s / operations * 1e6, 1),
-            "loads": {kind: load.as_dict() for kind, load in self._loads.items()},
+            "loads": {
+                kind: load.as_dict(missing=len(self._lost))
+                for kind, load in self._loads.items()
+            },
         }
 
+    async def _remove_lost(self) -> None:
+        await self._timers.sleep(REMOVAL_S)
+        self._removed = True
+
     async def _refresh(self) -> None:
         """Keeps the copy of the members' table fresh."""
         rows = tuple(
@@ -190,22 +234,31 @@
         )
         async for _ in self._timers.every(1.0):
             as_of = self._timers.elapsed()
-            changes = Changes(rows=rows, version=len(self._peers), as_of=as_of)
+            version = len(self._peers)
+            if self._removed:
+                rows, version = self._removals(version), version + len(self._lost)
+            changes = Changes(rows=rows, version=version, as_of=as_of)
             if self._copy.version:
                 self._copy.apply(changes)
             else:
                 self._copy.apply_from_beginning(changes)
 
+    def _removals(self, version: int) -> tuple[Row, ...]:
+        return tuple(
+            Row(key=MEMBER_PREFIX + name, version=version + number, body=None)
+            for number, name in enumerate(sorted(self._lost), start=1)
+        )
+
     async def _send(self, load: _Load, name: str) -> None:
         """Sends the operations of one organisation, in a Poisson process."""
         load.admitted_at[name] = []
         per_s = load.limit.per_s * load.asked
         until = self._timers.now() + LOAD_S
-        home = self._rng.choice(self._gates)
+        home = self._rng.choice(self._present)
         tasks = []
         while self._timers.now() < until:
             await self._timers.sleep(self._rng.expovariate(per_s))
-            gate = home if load.one_proxy else self._rng.choice(self._gates)
+            gate = home if load.one_proxy else self._rng.choice(self._present)
             tasks.append(asyncio.create_task(self._admit(gate, load, name)))
         await asyncio.gather(*tasks)
 
@@ -228,12 +281,13 @@
     return RoutingTable(version=1, organisations=organisations)
 
 
-def _excess(times: list[float], limit: Rate) -> float:
+def _excess(times: list[float], limit: Rate, missing: int) -> float:
     """Returns the worst window's count of operations less its bound."""
-    return max(_excesses(times, limit), default=0.0)
+    return max(_excesses(times, limit, missing), default=0.0)
 
 
-def _excesses(times: list[float], limit: Rate) -> Iterator[float]:
+def _excesses(times: list[float], limit: Rate, missing: int) -> Iterator[float]:
     for first, start in enumerate(times):
         for last in range(first, len(times)):
-            yield last - first + 1 - limit.max_operations(times[last] - start)
+            bound = limit.max_operations(times[last] - start, missing=missing)
+            yield last - first + 1 - bound
--- a/src/heatherpier/quotas/__init__.py
+++ b/src/heatherpier/quotas/__init__.py
@@ -1,5 +1,6 @@
 """Limits the operations of each organisation over all proxies."""
 
+from heatherpier.quotas._allocators import first_allocators
 from heatherpier.quotas._buckets import QuotaWindow, Rate
 from heatherpier.quotas._fleet_rows import FleetRows
 from heatherpier.quotas._gate import QuotaGate
@@ -9,6 +10,7 @@
     EmptyStart,
     FilledSinceStart,
     FixedShares,
+    LossPolicy,
     QuotaPolicy,
     RaisedShares,
 )
@@ -21,6 +23,7 @@
     "FilledSinceStart",
     "FixedShares",
     "FleetRows",
+    "LossPolicy",
     "OpenGate",
     "QuotaGate",
     "QuotaMetrics",
@@ -33,4 +36,5 @@
     "Right",
     "RightsAnswer",
     "RightsRequest",
+    "first_allocators",
 ]
