--- a/src/heatherpier/conftest.py
+++ b/src/heatherpier/conftest.py
@@ -6,6 +6,7 @@
 import pytest
 
 from heatherpier.bench import SimulatedDeployment, start_memory_group
+from heatherpier.tests._production import import_production
 from heatherpier.timers import LoopTimers, VirtualTimeLoop
 
 KNOWN_RED = Path(__file__).parents[2] / "KNOWN-RED.txt"
@@ -55,3 +56,10 @@
     group = start_memory_group(timers)
     yield group
     await group.close()
+
+
+@pytest.fixture(scope="session")
+def load_production(tmp_path_factory):
+    """Returns a module of the version in production by its name."""
+    with import_production(tmp_path_factory.mktemp("production")) as load:
+        yield load
--- a/src/heatherpier/tests/_production.py
+++ b/src/heatherpier/tests/_production.py
@@ -1,11 +1,16 @@
 """The version in production, from the repository's history."""
 
+import contextlib
+import importlib
 import io
 import subprocess
+import sys
 import tarfile
 import tomllib
 from pathlib import Path
 
+# Name under which it is imported beside the present version.
+PACKAGE = "heatherpier_production"
 ROOT = Path(__file__).parents[3]
 
 
@@ -27,3 +32,23 @@
     with tarfile.open(fileobj=archive) as files:
         files.extractall(folder, filter="data")
     return folder / "src"
+
+
+@contextlib.contextmanager
+def import_production(folder):
+    """Yields a function that returns a module in production by its name.
+
+    A process can import it once only, since it registers metrics.
+
+    Args:
+        folder: Empty folder for the sources.
+    """
+    package = (extract_production(folder) / "heatherpier").rename(folder / PACKAGE)
+    for path in package.rglob("*.py"):
+        # Metrics get other names too, so both builds can register theirs.
+        path.write_text(path.read_text().replace("heatherpier", PACKAGE))
+    sys.path.insert(0, str(folder))
+    try:
+        yield lambda name: importlib.import_module(f"{PACKAGE}.{name}")
+    finally:
+        sys.path.remove(str(folder))
