Soak: all proxies are replaced one after the other, by the other build

Change: after the random faults each proxy is stopped by SIGTERM and started as the other build under load; all four must have run both.

--- a/src/heatherpier/platform/tests/_soak.py
+++ b/src/heatherpier/platform/tests/_soak.py
@@ -29,6 +29,8 @@
 # Maximum time until the leases of proxies that don't answer have expired, a replica is
 # promoted, and back-offs have ended.
 RECOVERY_S = 25.0
+# Time between a proxy's start and the replacement of the next one.
+REPLACEMENT_PAUSE_S = 1.0
 
 
 class ProcessFaults:
@@ -221,6 +223,15 @@
     deployment.store.faults.lose_answers = 0
 
 
+async def replace_each(deployment: Deployment) -> None:
+    """Stops and starts all proxies, one after the other."""
+    for proxy in deployment.proxies:
+        proxy.signal(signal.SIGTERM)
+        proxy.sigterm_exit_codes.append(await proxy.wait_until_ended())
+        await proxy.start()
+        await deployment.timers.sleep(REPLACEMENT_PAUSE_S)
+
+
 async def run_seed(
     folder: Path,
     *,
@@ -232,6 +243,7 @@
     isolations_only: bool = False,
     restores: bool = False,
     lost_answers: bool = False,
+    replaces: bool = False,
 ) -> tuple[Deployment, CallHistory, bool]:
     """Runs a deployment under load and injects the random faults of one seed.
 
@@ -248,6 +260,7 @@
             one proxy reaches neither the store nor other proxies.
         restores: Whether the store also comes back from older backups.
         lost_answers: Whether instances also lose answers of statements that they ran.
+        replaces: Whether each proxy is then replaced, one after the other.
 
     Returns:
         The deployment, the answers that callers got, and whether all proxies served
@@ -271,6 +284,8 @@
             restores=restores,
             lost_answers=lost_answers,
         )
+        if replaces:
+            await replace_each(deployment)
         served = await callers.wait_until_served(RECOVERY_S)
         stop.set()
         await asyncio.gather(*load)
--- a/src/heatherpier/platform/tests/test_soak.py
+++ b/src/heatherpier/platform/tests/test_soak.py
@@ -182,10 +182,14 @@
     folder = tmp_path / "run"
     folder.mkdir()
     program = ALTERNATE_BUILDS.format(sources=str(sources)) + PROXY_PROGRAM
-    check_seed(*await run_seed(folder, seed=seed, duration_s=FAULTS_S, program=program))
+    deployment, history, served = await run_seed(
+        folder, seed=seed, duration_s=FAULTS_S, program=program, replaces=True
+    )
+    check_seed(deployment, history, served)
+    # Each proxy has run both builds.
     starts = [path.read_text() for path in folder.glob("*.starts")]
-    assert len(starts) > 1
-    assert max(len(text) for text in starts) > 1
+    assert len(starts) == len(deployment.proxies)
+    assert min(len(text) for text in starts) > 1
 
 
 @pytest.mark.parametrize("name", FAULT_NAMES)
