Quotas: names and doc comments of proving members, windows and missing allocators

Read as a newcomer: 'standbys' returned the allocators too, the rights created in a window were computed twice, and the reserve of a window was not explained.

--- a/src/heatherpier/forwarding/_link.py
+++ b/src/heatherpier/forwarding/_link.py
@@ -199,7 +199,8 @@
             context.monitor.end(home, self._fail_request, answered=answered)
         self._note_answer(home, answer, sent_at=now)
         if answer.restarted and self._followed_restart(answer, sent_at):
-            # The earlier process had ended, and this one refuses each copy.
+            # The process that the request names had ended before, and its successor
+            # refuses each copy.
             return msgspec.structs.replace(
                 answer, lost="", not_run="the home had restarted before"
             )
--- a/src/heatherpier/platform/tests/test_soak.py
+++ b/src/heatherpier/platform/tests/test_soak.py
@@ -35,7 +35,7 @@
 # 604: a proxy whose watch was answered with "history lost" by a restored store never read
 # the table anew. It is also tested in platform/tests/test_store.py.
 RESTORE_SEEDS = (201, 604, *range(int(FIRST) + 1, int(LAST) + 1))
-
+# Seeds of runs in which each proxy is replaced by the other build.
 UPGRADE_SEEDS = (801, *range(int(FIRST) + 1, int(LAST) + 1))
 # Runs the build in production at each second start of a proxy; odd proxies begin with
 # it.
@@ -49,6 +49,7 @@
 if (count + int(settings.stem.rpartition("-")[2])) % 2:
     sys.path.insert(0, {sources!r})
 """
+
 LOST_ANSWER_SEEDS = (301, *range(int(FIRST) + 1, int(LAST) + 1))
 
 
--- a/src/heatherpier/quotas/_allocators.py
+++ b/src/heatherpier/quotas/_allocators.py
@@ -11,9 +11,9 @@
 
 # Number of allocators. Each creates this share of every rate.
 ALLOCATORS = 5
-# Number of members, in the same order, that prove their rows. They include those that
-# become allocators when others are lost, which then need no further wait.
-STANDBYS = 2 * ALLOCATORS
+# Number of members, in the same order, that prove their rows: the allocators and their
+# standbys, which become allocators without a further wait when others are lost.
+PROVING_MEMBERS = 2 * ALLOCATORS
 # Maximum age of an allocator's copy of the members' table, and minimum time for which
 # its own row has stood. Leases on primaries end 9.4 s after the store has been lost, so
 # a longer time would serve little more.
@@ -95,9 +95,9 @@
     return ""
 
 
-def standbys(names: Collection[str]) -> tuple[str, ...]:
-    """Returns the allocators and those that take the place of lost ones."""
-    return tuple(heapq.nsmallest(STANDBYS, names, key=_rank))
+def proving_members(names: Collection[str]) -> tuple[str, ...]:
+    """Returns the allocators and their standbys."""
+    return tuple(heapq.nsmallest(PROVING_MEMBERS, names, key=_rank))
 
 
 def peers_to_ask(
--- a/src/heatherpier/quotas/_buckets.py
+++ b/src/heatherpier/quotas/_buckets.py
@@ -41,11 +41,14 @@
 
     @property
     def spare(self) -> float:
-        """Operations beyond rate and burst for which rights are created."""
+        """Rights that allocators hold beyond the burst; the rest of `extra` is a reserve."""
         return min(SPARE, self.extra / 2)
 
     def allowed(self, per_s: float, burst: float) -> float:
-        """Returns how many rights may be spent in a window at a rate and a burst."""
+        """Returns how many rights may be spent in a window at a rate and a burst.
+
+        It leaves a reserve for operations that wait between their right and their run.
+        """
         usual = per_s * self.length_s + burst
         return usual * (1 + self.excess) + self.extra - self.spare
 
@@ -72,17 +75,21 @@
         is part of what can run at once.
         """
         usual = max(self.burst - self.per_s * RIGHT_VALIDITY_S, 0.0) + self.window.spare
-        created = self.per_s * (self.window.length_s + RIGHT_VALIDITY_S)
-        return min(usual, max(self._allowed - created, 0.0))
+        return min(usual, max(self._allowed - self._created, 0.0))
 
     @property
     def _allowed(self) -> float:
         return self.window.allowed(self.per_s, self.burst)
 
+    @property
+    def _created(self) -> float:
+        """Rights created at the rate that may be spent in one window."""
+        return self.per_s * (self.window.length_s + RIGHT_VALIDITY_S)
+
     @property
     def max_factor(self) -> float:
         """Highest multiple of the rate that allocators together may create."""
-        created = self.per_s * (self.window.length_s + RIGHT_VALIDITY_S)
+        created = self._created
         return (self._allowed - self.stock) / created if created > 0 else 1.0
 
     def share_per_s(self, missing: int = 0) -> float:
@@ -178,7 +185,7 @@
         # What the askers together are still entitled to in the present period.
         self._reserved = 0.0
         # Whether some asker wants less than its share, and so is owed all it asks for.
-        self._any_modest = False
+        self._any_below_share = False
 
     def level(self, now: float) -> float:
         """Returns how many rights the bucket holds."""
@@ -255,7 +262,9 @@
         if self._fair != math.inf:
             share = math.floor(self._fair)
             self._reserved = sum(self._entitlement(name, share) for name in demands)
-            self._any_modest = any(demand < self._fair for demand in demands.values())
+            self._any_below_share = any(
+                demand < self._fair for demand in demands.values()
+            )
         return self._fair
 
     def _allowance(self, asker: str, fair: float, now: float) -> float:
@@ -268,7 +277,7 @@
         elapsed = (now - self._period.began) / SHARE_PERIOD_S
         due = math.floor(fair * elapsed) + 1 - given
         allowed = max(due, self._level - kept)
-        if self._any_modest and self._demand(asker) >= fair:
+        if self._any_below_share and self._demand(asker) >= fair:
             # Rights are whole. Without one in store, an asker that wants less than its
             # share would find none whenever this one takes each as it is created.
             return min(allowed, self._level - 1)
--- a/src/heatherpier/quotas/_fleet_rows.py
+++ b/src/heatherpier/quotas/_fleet_rows.py
@@ -7,7 +7,7 @@
     REMOVED_RETENTION_S,
     Standing,
     first_allocators,
-    standbys,
+    proving_members,
 )
 from heatherpier.tables import Row, number_of
 from heatherpier.timers import Timers
@@ -61,7 +61,7 @@
         # as no member's row was ever proven to have stood long enough.
         self._first_proof = float("inf")
         self._first: tuple[str, ...] | None = None
-        self._standbys: tuple[str, ...] = ()
+        self._proving: tuple[str, ...] = ()
         view.copy.subscribe(self._apply)
         view.copy.subscribe_to_whole_reads(self._note_whole_read)
         view.copy.subscribe_to_epochs(self._note_restore)
@@ -163,13 +163,14 @@
         if self._first is None or expired or joined:
             names = self._view.members.keys() | self._removed_at.keys()
             names -= self._joining_until.keys()
-            self._first, self._standbys = first_allocators(names), standbys(names)
+            self._first = first_allocators(names)
+            self._proving = proving_members(names)
         return self._first
 
     def proving(self) -> tuple[str, ...]:
-        """Returns the members that prove their rows, by the same order as `first`."""
+        """Returns the allocators and their standbys, which prove their rows."""
         self.first()
-        return self._standbys
+        return self._proving
 
     def members(self) -> dict[str, Peer]:
         """Returns the addresses of the first members that are present."""
--- a/src/heatherpier/quotas/_issuer.py
+++ b/src/heatherpier/quotas/_issuer.py
@@ -111,12 +111,17 @@
                 return now
 
     def note_silent(self, names: Collection[str]) -> None:
-        """Takes the names of allocators that do not answer or create no rights."""
+        """Makes up for missing allocators, if the policy says so.
+
+        Args:
+            names: Allocators that lately did not answer or created no rights. Those that
+                are no members count as missing too.
+        """
         match self._policy.loss:
             case FixedShares():
                 return
             case RaisedShares():
-                present = self._rows.members().keys() - set(names) | {self._me}
+                present = (self._rows.members().keys() - set(names)) | {self._me}
         missing = sum(name not in present for name in self._rows.first())
         if missing != self._missing:
             if self.active:
