--- a/review/standins.py
+++ b/review/standins.py
@@ -274,6 +274,7 @@
         self.seq_no = 0
         self.beat_at = now()
         self.deaf = False
+        self.cut_from_store = False
         self.port = 0
         self.connections = 0
         self.slots = asyncio.Semaphore(group.slots)
@@ -530,9 +531,25 @@
     async def _beat(self, instance):
         while instance.running:
             await asyncio.sleep(BEAT_S)
-            if instance.running:
+            if instance.running and not instance.cut_from_store:
                 self.changed(instance)
 
+    async def cut_from_store(self, instance, for_s):
+        """Partitions an instance from the store alone, just after a heartbeat."""
+        self.changed(instance)
+        instance.cut_from_store = True
+        self.record("instance cut from the store", id=instance.name, for_s=for_s)
+        lapse_s = 3 * BEAT_S
+        await asyncio.sleep(min(lapse_s, for_s))
+        if lapse_s < for_s:
+            self._drop_entry(instance)
+        await asyncio.sleep(max(for_s - lapse_s, 0))
+        instance.cut_from_store = False
+        self.changed(instance)
+        self.record(
+            "instance reaches the store again", id=instance.name, leads=instance.leads
+        )
+
     def lose(self, instance):
         """Loses an instance for good; its entry goes after three beats of silence."""
         silent_s = now() - instance.beat_at
@@ -885,6 +902,57 @@
             self._writer.transport.abort()
 
 
+async def call_in_turns(deployment, number, log, stop):
+    """Sends single statements to the proxies and routes in turn until `stop` is set.
+
+    Args:
+        deployment: The deployment.
+        number: Number of the caller.
+        log: Gets the time and the success of each request.
+        stop: Ends the calls.
+    """
+    texts = ("READ k1", "WRITE k1 v", "READ k2")
+    turn = number
+    while not stop.is_set():
+        turn += 1
+        proxy = deployment.proxies[turn % len(deployment.proxies)]
+        route = deployment.routes[turn % len(deployment.routes)]
+        client = Client(deployment, proxy, route["host"])
+        sent = now()
+        served = False
+        try:
+            async with asyncio.timeout(8.0):
+                await client.open()
+                request = await client.query(texts[turn % len(texts)])
+            served = request.done
+        except (OSError, Closed, TimeoutError):
+            # It counts as not served.
+            pass
+        finally:
+            client.close()
+        log.append((sent, served))
+        await asyncio.sleep(0.1)
+
+
+def share_served(log, since, until):
+    """Returns the share of the requests that were served, and their number."""
+    found = [served for sent, served in log if since <= sent < until]
+    return (sum(found) / len(found) if found else 0.0), len(found)
+
+
+def judge_recovery(record, log, *, began, fault_at, back_at):
+    """Returns what broke the rule RECOVER."""
+    recovery_s = BOUNDS["recoveryS"]
+    before, count = share_served(log, began, fault_at)
+    after, measured = share_served(log, back_at + recovery_s, now() - 1.0)
+    record("result", before=before, sent_before=count, after=after, sent_after=measured)
+    print(f"served before the fault: {before:.2f} of {count}")
+    print(f"served later than {recovery_s} s after it: {after:.2f} of {measured}")
+    if before >= 0.25 and after < 0.25:
+        return [f"RECOVER: {after:.2f} of {measured} requests are served"]
+    return []
+
+
 def main(case):
     """Runs a case and exits with 0 (held), 1 (broken) or 2 (can't run).
 
