Review case 1: acknowledged commits with synchronous replicas are rolled back

Done: a script; the stand-ins learned synchronous replicas and crashes; the other cases moved on by one number.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,5 +1,4 @@
-"""RECOVER: without a leadership row, a primary that is lost during a stop of all proxies
-is never replaced."""
+"""RECOVER: a primary that was given up and is the only instance left is never used."""
 
 import asyncio
 import signal
@@ -17,8 +16,10 @@
 )
 
 SERVICES = ("claims0", "claims1", "claims2")
-# Bounded by the default of `for_s`, 5 s.
-DOWN_S = 4.5
+# Longest cut of a primary in the small site files.
+CUT_S = 7.0
+# Time for which all processes are down at the final fault.
+DOWN_S = 1.2
 BEFORE_S = 6.0
 MEASURED_S = 12.0
 KINDS = (("primary", 0), ("bounded_staleness", 1500), ("read_own_writes", 2500))
@@ -40,14 +41,30 @@
             for number in range(8)
         ]
         began = now()
-        await asyncio.sleep(BEFORE_S)
+        # The replicas are lost one after the other; each database goes on without them.
+        for turn in range(2):
+            for group in deployment.groups.values():
+                if trouble:
+                    replicas = [item for item in group.instances.values() if item.running]
+                    group.lose(next(item for item in replicas if not item.leads))
+            await asyncio.sleep(BEFORE_S)
+        if trouble:
+            # All proxies reach the primaries meanwhile.
+            cuts = [
+                group.cut_from_store(
+                    next(item for item in group.instances.values() if item.running),
+                    CUT_S,
+                )
+                for group in deployment.groups.values()
+            ]
+            await asyncio.gather(*cuts)
+        else:
+            await asyncio.sleep(CUT_S)
+        # The final fault: all processes are killed.
         fault_at = now()
         if trouble:
             for proxy in deployment.proxies:
                 proxy.signal(signal.SIGKILL)
-            for group in deployment.groups.values():
-                primary = next(item for item in group.instances.values() if item.leads)
-                group.lose(primary)
             await asyncio.sleep(DOWN_S)
             for proxy in deployment.proxies:
                 await proxy.process.wait()
--- /dev/null
+++ b/review/4/run.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")/../.." && exec timeout 118 python3 review/4/case.py
--- a/review/standins.py
+++ b/review/standins.py
@@ -293,8 +293,8 @@
             return self.received
         return self.log[self.applied - 1][:2] if self.applied else (1, 0)
 
-    async def start(self, host):
-        self._server = await asyncio.start_server(self._serve, host, 0)
+    async def start(self, host, port=0):
+        self._server = await asyncio.start_server(self._serve, host, port)
         self.port = self._server.sockets[0].getsockname()[1]
 
     def stop(self):
@@ -477,7 +477,7 @@
             self.writes.append((item, data))
         if word == "COMMIT" or (word == "WRITE" and self.tx is None):
             if self.writes:
-                group.append(instance, self.writes)
+                await group.commit(instance, self.writes)
             self.writes, self.tx = [], None
         instance._signatures += 1
         group.record(
@@ -506,7 +506,11 @@
         self.promote_s = promote_s
         self.lag_s = lag_s
         self.work_s = work_s
+        # Replicas that must have received a commit before it is acknowledged.
+        self.sync_replicas = 0
         self.instances = {}
+        # Name and log of each instance that was promoted, at that time.
+        self.promoted = []
         self._tasks = []
         for number, zone in enumerate(ZONES):
             name = f"i-{service}{number}"
@@ -529,7 +533,7 @@
         self.store.put("servers", instance.name, instance.entry())
 
     async def _beat(self, instance):
-        while instance.running:
+        while True:
             await asyncio.sleep(BEAT_S)
             if instance.running and not instance.cut_from_store:
                 self.changed(instance)
@@ -563,6 +567,47 @@
         self.record("entry removed", id=instance.name)
         self.store.put("servers", instance.name, None)
 
+    async def commit(self, primary, writes):
+        """Commits writes, and waits for the synchronous replicas."""
+        self.append(primary, writes)
+        position = primary.received
+        while self.sync_replicas:
+            if not primary.running:
+                raise ConnectionError("the instance has crashed")
+            holders = [
+                item
+                for item in self.instances.values()
+                if item is not primary and item.running and item.received >= position
+            ]
+            if len(holders) >= self.sync_replicas:
+                return
+            await asyncio.sleep(0.002)
+
+    async def crash(self, instance, for_s):
+        """Crashes an instance, which comes back with its log."""
+        silent_s = now() - instance.beat_at
+        led, port = instance.leads, instance.port
+        instance.stop()
+        self.record("instance crashed", id=instance.name, primary=led, for_s=for_s)
+        lapse_s = max(3 * BEAT_S - silent_s, 0)
+        await asyncio.sleep(min(lapse_s, for_s))
+        if lapse_s < for_s:
+            self._drop_entry(instance)
+        await asyncio.sleep(max(for_s - lapse_s, 0))
+        instance.running = True
+        leader = max(
+            (item for item in self.instances.values() if item.leads and item.running),
+            key=lambda item: item.term,
+        )
+        await instance.start(self.host, port)
+        if leader is not instance:
+            instance.leads = False
+            instance.term = leader.term
+            instance.log = list(leader.log)
+            instance.applied = len(instance.log)
+        self.record("instance is back", id=instance.name, leads=instance.leads)
+        self.changed(instance)
+
     def append(self, primary, writes):
         number = primary.received[1]
         for item, data in writes:
@@ -585,7 +630,14 @@
         term = max(item.term for item in self.instances.values()) + 1
         old = [item for item in self.instances.values() if item.leads]
         instance.term, instance.leads = term, True
-        self.record("promoted", service=self.service, id=instance.name, term=term)
+        self.promoted.append((instance.name, list(instance.log)))
+        self.record(
+            "promoted",
+            service=self.service,
+            id=instance.name,
+            term=term,
+            entries=len(instance.log),
+        )
         self.changed(instance)
         for other in self.instances.values():
             if other is instance:
@@ -759,7 +811,7 @@
         for group in self.groups.values():
             await group.start()
         services = [
-            {"name": name, "maxConns": group.max_conns, "syncReplicas": 0}
+            {"name": name, "maxConns": group.max_conns, "syncReplicas": group.sync_replicas}
             for name, group in self.groups.items()
         ]
         limits = {
