Change of primary: the old primary serves again if no other instance can be promoted

Cause: the lapsed entry began a change of primary although there was nothing to change to; the coordinator left the old primary out when it chose the successor and ended after 14 s; each takeover did the same, and never kept the old primary, as a promotion may have been requested. Ruled out: that handing over sooner helps.

Change: a change begins only if another instance is registered. The old primary is the last choice of a change. After a promotion that may have been requested, the coordinator waits until it has taken effect, has the platform promote the old primary (no change if it is the present one, else a newer term), and waits for that too. A successor that led before it was requested is used only after the same wait. A planned change is announced only once another instance answers. The choice of successors moved to a module of its own.

--- a/src/heatherpier/_proxy_engine.py
+++ b/src/heatherpier/_proxy_engine.py
@@ -50,6 +50,7 @@
     PrimaryWatcher,
     Registration,
     SampleExchange,
+    Successors,
 )
 from heatherpier.pooling import (
     ConnectionShares,
@@ -261,6 +262,12 @@
             view=self.view,
             timers=timers,
         )
+        self._successors = Successors(
+            registry=self._registry,
+            control=self._ports.control,
+            synchronous=self._synchronous_replicas,
+            timers=timers,
+        )
         self._changer = self._make_changer()
         self._confirmations = Confirmations(
             me,
@@ -270,7 +277,7 @@
             releases=self._releases,
             coordinators=self._coordinators,
             registry=self._registry,
-            changer=self._changer,
+            successors=self._successors,
             instances_known_s=self._instance_list.current_s,
             timers=timers,
         )
@@ -302,11 +309,10 @@
             links=self._links,
             releases=self._releases,
             coordinators=self._coordinators,
-            registry=self._registry,
+            successors=self._successors,
             control=self._ports.control,
             promotions=self._ports.promotions,
             prober=self._prober,
-            synchronous=self._synchronous_replicas,
             timers=self._timers,
         )
 
--- a/src/heatherpier/bench/_simulated_group.py
+++ b/src/heatherpier/bench/_simulated_group.py
@@ -180,7 +180,8 @@
         """Makes an instance the primary of the next term after `promote_s`.
 
         A replica follows the new primary at once, an old primary only when it notices
-        the new one.
+        the new one. Nothing changes for the present primary, which is not an old primary
+        that has not noticed the new one yet.
 
         Args:
             name: Name of the instance.
@@ -193,7 +194,8 @@
         if not instance.running:
             raise NotRunningError(name)
         self.promotions.append((name, token))
-        if instance.leads:
+        newest = max(item.term for item in self.instances.values())
+        if instance.leads and instance.term == newest:
             return
         await self.timers.sleep(self.promote_s)
         term = max(item.term for item in self.instances.values()) + 1
--- a/src/heatherpier/leases/__init__.py
+++ b/src/heatherpier/leases/__init__.py
@@ -35,6 +35,7 @@
 from heatherpier.leases._releases import LeaseReleases
 from heatherpier.leases._removal import MemberRemoval
 from heatherpier.leases._sample_exchange import PositionSamples, SampleExchange
+from heatherpier.leases._successors import Successors
 from heatherpier.leases._table_fallback import PeerTableFallback
 from heatherpier.leases._table_sync import PeerTableSync
 from heatherpier.leases._table_watch import PeerTableWatch
@@ -85,6 +86,7 @@
     "Promotions",
     "Registration",
     "SampleExchange",
+    "Successors",
     "LeaseReleases",
     "Lease",
     "IndirectProber",
--- a/src/heatherpier/leases/_changer.py
+++ b/src/heatherpier/leases/_changer.py
@@ -1,9 +1,8 @@
 """Changes of the primary of a service, carried out by one proxy at a time."""
 
-import asyncio
-from collections.abc import Callable
+from dataclasses import dataclass
 
-from heatherpier.discovery import InstanceRecord, InstanceRegistry
+from heatherpier.discovery import InstanceRecord
 from heatherpier.leases._coordinators import ChangeCoordinators, CoordinatorState
 from heatherpier.leases._fence import CONTROL_TIMEOUT_S, Fence, PrimaryChange
 from heatherpier.leases._indirect_probes import IndirectProber
@@ -23,6 +22,7 @@
     Led,
 )
 from heatherpier.leases._releases import LeaseReleases
+from heatherpier.leases._successors import POLL_PERIOD_S, Candidate, Successors
 from heatherpier.leases._view import FleetView
 from heatherpier.positions import LogPosition
 from heatherpier.tables import ChangeConflictError
@@ -40,16 +40,10 @@
 COORDINATOR_MAX_STALENESS_S = 1.5
 # Longest time that a request for a promotion takes.
 PROMOTION_REQUEST_S = 0.8
-# Time for the successor to receive the last commits of a leaving primary.
-CATCH_UP_TIMEOUT_S = 1.0
-POLL_PERIOD_S = 0.03
 PROMOTION_RETRY_S = 0.1
 # A requested promotion takes effect within some hundred ms, up to a second.
 PROMOTION_EFFECT_TIMEOUT_S = 2.5
 
-# Whether an instance is not leaving, its position, and its name.
-Candidate = tuple[bool, LogPosition, str]
-
 
 class PrimaryChanger:
     """Carries out changes of primary as their coordinator.
@@ -61,12 +55,10 @@
         links: The other proxies.
         releases: Ends the use of old primaries, here and at peers.
         coordinators: Keeps the set of changes that this proxy is carrying out.
-        registry: The registered instances.
+        successors: Chooses which instance is promoted.
         control: Control statements to instances.
         promotions: Has the platform promote instances.
         prober: Probes instances by way of the voters.
-        synchronous: Returns how many replicas of a service hold a commit when it is
-            acknowledged.
         timers: Timer service.
     """
 
@@ -79,11 +71,10 @@
         links: PeerLinks,
         releases: LeaseReleases,
         coordinators: ChangeCoordinators,
-        registry: InstanceRegistry,
+        successors: Successors,
         control: InstanceControl,
         promotions: Promotions,
         prober: IndirectProber,
-        synchronous: Callable[[str], int],
         timers: Timers,
     ) -> None:
         self._me = me
@@ -92,11 +83,10 @@
         self._links = links
         self._releases = releases
         self._coordinators = coordinators
-        self._registry = registry
+        self._successors = successors
         self._control = control
         self._promotions = promotions
         self._prober = prober
-        self._synchronous = synchronous
         self._timers = timers
 
     async def change(self, change: PrimaryChange) -> None:
@@ -121,6 +111,9 @@
             reason=change.reason,
             version=change.expected,
         )
+        if change.planned and not await self._successors.fetch_statuses(change):
+            # The old primary still serves, and a change would stop all writers.
+            raise ChangeFailedError("no successor answers")
         state = Changing(
             previous=change.previous,
             holder=self._me,
@@ -153,10 +146,12 @@
     async def _replace(
         self, change: PrimaryChange, record: LeadershipRecord, *, began: float
     ) -> tuple[InstanceRecord, ReplicationStatus]:
+        effective_at: float | None = None
         if change.takeover:
             waited_s = self._timers.elapsed() - began
             await self._timers.sleep(max(_takeover_wait_s(change) - waited_s, 0))
-        statuses = await self._fetch_statuses(change)
+            effective_at = self._timers.elapsed() + PROMOTION_EFFECT_TIMEOUT_S
+        statuses = await self._successors.fetch_statuses(change)
         term = max((item.term for item in statuses.values()), default=0)
         fence = Fence(
             change,
@@ -174,7 +169,10 @@
         min_position: LogPosition | None = None
         if change.planned:
             min_position = await self._fetch_last_position(change)
-        return await self._promote(change, record, min_position=min_position, term=term)
+        promoting = _Promoting(
+            change=change, record=record, term=term, effective_at=effective_at
+        )
+        return await self._promote(promoting, min_position=min_position)
 
     async def _fetch_last_position(self, change: PrimaryChange) -> LogPosition | None:
         """Returns the last position of the old primary, or None if it is not known.
@@ -198,80 +196,112 @@
             return None
         return status.position
 
-    async def _fetch_statuses(
-        self, change: PrimaryChange
-    ) -> dict[str, ReplicationStatus]:
-        """Returns the replication status of each instance that answers, by name.
-
-        The old primary is left out: if it is lost, asking it only costs the timeout.
-        """
-        records = [
-            item
-            for item in self._registry.of_service(change.service)
-            if item.name != change.previous
-        ]
-        answers = await asyncio.gather(*(self.fetch_status(item) for item in records))
-        return {
-            item.name: answer
-            for item, answer in zip(records, answers, strict=True)
-            if answer is not None
-        }
-
-    async def fetch_status(self, record: InstanceRecord) -> ReplicationStatus | None:
-        """Returns the replication status of an instance, or None without an answer."""
-        try:
-            return await self._control.replication_status(
-                record, timeout_s=CONTROL_TIMEOUT_S
-            )
-        except ControlError as exc:
-            log.info(
-                "replication status unavailable", instance=record.name, reason=str(exc)
-            )
-            return None
-
     async def _promote(
-        self,
-        change: PrimaryChange,
-        record: LeadershipRecord,
-        *,
-        min_position: LogPosition | None,
-        term: int,
+        self, promoting: "_Promoting", *, min_position: LogPosition | None
     ) -> tuple[InstanceRecord, ReplicationStatus]:
         excluded: set[str] = set()
         while True:
-            target = await self._choose_successor(
-                change, min_position=min_position, excluded=excluded
+            choice = await self._successors.choose(
+                promoting.change, min_position=min_position, excluded=excluded
             )
-            if target is None:
+            if choice is None:
                 excluded.clear()
                 await self._timers.sleep(PROMOTION_RETRY_S)
                 continue
-            self._require_coordinator(record, change)
-            try:
-                await self._promotions.promote(
-                    change.service, target.name, holder=self._me, token=record.version
-                )
-            except NotRunningError as exc:
-                log.info(
-                    "promotion rejected, instance not running",
-                    instance=target.name,
-                    reason=str(exc),
-                )
-                excluded.add(target.name)
-                continue
-            except ControlError as exc:
-                # The promotion may still take effect, which the replication status of
-                # the instance shows.
-                log.info(
-                    "promotion request failed, outcome unknown",
-                    instance=target.name,
-                    reason=str(exc),
-                )
-            status = await self._wait_for_promotion(change, target, above=term)
+            target = choice.record
+            if target.name == promoting.change.previous:
+                status = await self._keep(promoting, choice)
+            else:
+                status = await self._promote_successor(promoting, choice)
             if status is not None:
                 return target, status
             excluded.add(target.name)
 
+    async def _promote_successor(
+        self, promoting: "_Promoting", successor: Candidate
+    ) -> ReplicationStatus | None:
+        """Promotes an instance; returns its status once it leads, or None."""
+        earlier_effective_at = promoting.effective_at
+        if not await self._request_promotion(promoting, successor.record):
+            return None
+        if successor.status.leads and earlier_effective_at is not None:
+            # An earlier request had it promoted, so this one changed nothing. A later
+            # request of that coordinator, for another instance, may still take effect.
+            await self._sleep_until(earlier_effective_at)
+        return await self._wait_for_promotion(promoting, successor.record)
+
+    async def _request_promotion(
+        self, promoting: "_Promoting", target: InstanceRecord
+    ) -> bool:
+        """Requests a promotion; returns whether it may take effect.
+
+        Raises:
+            ChangeConflictError: Another proxy has taken the change over.
+            ChangeFailedError: The view is too old to show whether one has.
+        """
+        change, record = promoting.change, promoting.record
+        self._require_coordinator(record, change)
+        promoting.accepted = False
+        try:
+            await self._promotions.promote(
+                change.service, target.name, holder=self._me, token=record.version
+            )
+        except NotRunningError as exc:
+            log.info(
+                "promotion rejected, instance not running",
+                instance=target.name,
+                reason=str(exc),
+            )
+            return False
+        except ControlError as exc:
+            # The promotion may still take effect, which the replication status of
+            # the instance shows.
+            log.info(
+                "promotion request failed, outcome unknown",
+                instance=target.name,
+                reason=str(exc),
+            )
+        else:
+            promoting.accepted = True
+        promoting.effective_at = self._timers.elapsed() + PROMOTION_EFFECT_TIMEOUT_S
+        return True
+
+    async def _keep(
+        self, promoting: "_Promoting", old: Candidate
+    ) -> ReplicationStatus | None:
+        """Lets the old primary lead on; returns its status, or None if it does not.
+
+        If no promotion was requested, a leader of the newest term is still the primary.
+        Otherwise each promotion that was requested takes effect first. Then the old
+        primary itself is requested: the platform changes nothing if it is the present
+        primary, and gives it a newer term if another instance is. Its status shows which
+        of the two once that request would have taken effect as well.
+        """
+        if promoting.effective_at is not None:
+            await self._sleep_until(promoting.effective_at)
+        elif old.status.leads and old.status.term >= promoting.term:
+            return old.status
+        known_term = max(promoting.term, old.status.term)
+        if not await self._request_promotion(promoting, old.record):
+            return None
+        if not promoting.accepted or promoting.effective_at is None:
+            return None
+        while True:
+            status = await self._successors.fetch_status(old.record)
+            leads = status is not None and status.leads
+            if status is not None and leads and status.term > known_term:
+                return status
+            if self._timers.elapsed() >= promoting.effective_at:
+                break
+            await self._timers.sleep(PROMOTION_RETRY_S)
+        if status is None or not leads or status.term < known_term:
+            log.info("old primary does not lead", instance=old.record.name)
+            return None
+        return status
+
+    async def _sleep_until(self, deadline: float) -> None:
+        await self._timers.sleep(max(deadline - self._timers.elapsed(), 0))
+
     def _require_coordinator(
         self, record: LeadershipRecord, change: PrimaryChange
     ) -> None:
@@ -291,99 +321,20 @@
                 f"leadership of {change.service} has changed, version {current}"
             )
 
-    async def _choose_successor(
-        self,
-        change: PrimaryChange,
-        *,
-        min_position: LogPosition | None,
-        excluded: set[str],
-    ) -> InstanceRecord | None:
-        """Returns the instance to promote, or None if no candidate answers.
-
-        If the log of the preferred one does not reach ``min_position``, the choice
-        waits until `_may_promote` allows it.
-
-        Args:
-            change: The change.
-            min_position: Last position of the old primary, or None if it is not known.
-            excluded: Names of instances that could not be promoted.
-        """
-        until = self._timers.now() + CATCH_UP_TIMEOUT_S
-        while True:
-            statuses = await self._fetch_statuses(change)
-            candidates = [
-                (not record.instance.leaving, statuses[name].position, name)
-                for name in statuses
-                if name not in excluded
-                if (record := self._registry.get(name)) is not None
-            ]
-            if not candidates:
-                return None
-            _, position, name = self._preferred(change, candidates)
-            complete = min_position is not None and position >= min_position
-            if complete or self._may_promote(
-                change, candidates, min_position, until=until
-            ):
-                log.info(
-                    "successor chosen",
-                    service=change.service,
-                    instance=name,
-                    position=str(position),
-                    least=str(min_position),
-                    candidates=len(candidates),
-                )
-                return self._registry.get(name)
-            await self._timers.sleep(POLL_PERIOD_S)
-
-    def _preferred(
-        self, change: PrimaryChange, candidates: list[Candidate]
-    ) -> Candidate:
-        """Returns the best successor.
-
-        With synchronous replicas it is the one whose log is furthest, as only that log
-        surely has all acknowledged commits. Otherwise instances that are not leaving
-        come first.
-        """
-        if self._synchronous(change.service):
-            return max(candidates, key=lambda item: (item[1], item[0], item[2]))
-        return max(candidates)
-
-    def _may_promote(
-        self,
-        change: PrimaryChange,
-        candidates: list[Candidate],
-        min_position: LogPosition | None,
-        *,
-        until: float,
-    ) -> bool:
-        """Returns whether to promote without a log that reaches ``min_position``.
-
-        With n synchronous replicas, each acknowledged commit is in the logs of n
-        instances besides the old primary. As long as fewer than n of these instances
-        are missing, the furthest log among the candidates holds every acknowledged
-        commit. Without synchronous replicas, a planned change waits until ``until``
-        for the log to catch up.
-        """
-        synchronous = self._synchronous(change.service)
-        if synchronous:
-            names = {item.name for item in self._registry.of_service(change.service)}
-            missing = len(names - {change.previous}) - len(candidates)
-            return missing < synchronous
-        return min_position is None or self._timers.now() >= until
-
     async def _wait_for_promotion(
-        self, change: PrimaryChange, target: InstanceRecord, *, above: int
+        self, promoting: "_Promoting", target: InstanceRecord
     ) -> ReplicationStatus | None:
         """Returns the status of an instance once it leads a newer term, or None.
 
         An earlier coordinator of the same change may have had the instance promoted
         before it was asked for its term. So any term above the old primary's will do.
         """
-        if change.term != UNKNOWN_TERM:
-            above = min(above, change.term)
+        above = promoting.term
+        if promoting.change.term != UNKNOWN_TERM:
+            above = min(above, promoting.change.term)
         until = self._timers.now() + PROMOTION_EFFECT_TIMEOUT_S
         while self._timers.now() < until:
-            status = await self.fetch_status(target)
+            status = await self._successors.fetch_status(target)
             if status is not None and status.leads and status.term > above:
                 return status
             await self._timers.sleep(POLL_PERIOD_S)
@@ -391,6 +342,26 @@
         return None
 
 
+@dataclass(slots=True, kw_only=True)
+class _Promoting:
+    """Progress of the promotions of one change.
+
+    Attributes:
+        change: The change.
+        record: The leadership row that announces the change.
+        term: Highest term that an instance has reported.
+        effective_at: Time by `Timers.elapsed` from which every promotion that was
+            requested has taken effect or never will; None if none was requested.
+        accepted: Whether the platform has accepted the last request.
+    """
+
+    change: PrimaryChange
+    record: LeadershipRecord
+    term: int
+    effective_at: float | None
+    accepted: bool = False
+
+
 def _takeover_wait_s(change: PrimaryChange) -> float:
     """Returns the time until the earlier coordinator requests no promotion any more."""
     if change.predecessor is CoordinatorState.STOPPED:
--- a/src/heatherpier/leases/_confirmations.py
+++ b/src/heatherpier/leases/_confirmations.py
@@ -25,7 +25,6 @@
     COORDINATOR_MAX_STALENESS_S,
     PROMOTION_EFFECT_TIMEOUT_S,
     PROMOTION_REQUEST_S,
-    PrimaryChanger,
 )
 from heatherpier.leases._coordinators import ChangeCoordinators
 from heatherpier.leases._fence import PrimaryChange
@@ -40,6 +39,7 @@
 from heatherpier.leases._peers import REQUEST_TIMEOUT_S
 from heatherpier.leases._records import Confirming, Led
 from heatherpier.leases._releases import LeaseReleases
+from heatherpier.leases._successors import Successors
 from heatherpier.leases._view import FleetView, ViewBeforeRestore
 from heatherpier.telemetry import get_logger
 from heatherpier.timers import Timers
@@ -76,7 +76,7 @@
         releases: Releases of leases at this proxy.
         coordinators: Keeps the set of changes that this proxy carries out.
         registry: The registered instances.
-        changer: Asks instances for their replication status.
+        successors: Asks instances for their replication status.
         instances_known_s: Returns for how long the list of instances has been up to
             date, in seconds; 0 if it is out of date.
         timers: Timer service.
@@ -92,7 +92,7 @@
         releases: LeaseReleases,
         coordinators: ChangeCoordinators,
         registry: InstanceRegistry,
-        changer: PrimaryChanger,
+        successors: Successors,
         instances_known_s: Callable[[], float],
         timers: Timers,
     ) -> None:
@@ -103,7 +103,7 @@
         self._releases = releases
         self._coordinators = coordinators
         self._registry = registry
-        self._changer = changer
+        self._successors = successors
         self._instances_known_s = instances_known_s
         self._timers = timers
         self._began = timers.elapsed()
@@ -247,7 +247,7 @@
         ]
         if len(claims) != 1:
             return None
-        status = await self._changer.fetch_status(claims[0])
+        status = await self._successors.fetch_status(claims[0])
         if status is None or not status.leads:
             return None
         return Led(instance=claims[0].name, term=status.term)
@@ -310,7 +310,7 @@
         """
         records = self._registry.of_service(service)
         answers = await asyncio.gather(
-            *(self._changer.fetch_status(item) for item in records)
+            *(self._successors.fetch_status(item) for item in records)
         )
         statuses = [
             (status, item.name)
--- a/src/heatherpier/leases/_watcher.py
+++ b/src/heatherpier/leases/_watcher.py
@@ -202,7 +202,8 @@
 
         A change is due if the entry of the primary is missing, if the primary is
         leaving and has a successor, if it does not answer or no longer leads, or if
-        the coordinator of a change does not finish it.
+        the coordinator of a change does not finish it. A primary that is the only
+        instance left is replaced only if it answers that it no longer leads.
         """
         if self._view.copy.age_s() >= LEASE_S:
             # A change begins with a write to the store, which can't be reached now.
@@ -225,6 +226,10 @@
             # After a start or an outage of the store, entries are registered late.
             if self._instances_known_s() < MISSING_GRACE_S:
                 return None
+            if not self._has_other_instance(primary):
+                # Nothing can be promoted. Its entry may be back at any moment, and
+                # without a change the primary is then used at once.
+                return None
             planned, reason = False, "entry of the primary is missing"
         elif entry.instance.leaving and self._has_successor(entry):
             planned, reason = True, "primary is leaving"
@@ -334,11 +339,18 @@
             for item in self._registry.of_service(self._service)
         )
 
+    def _has_other_instance(self, primary: str) -> bool:
+        return any(
+            item.name != primary for item in self._registry.of_service(self._service)
+        )
+
     async def _is_lost(self, entry: InstanceRecord) -> bool:
         """Returns whether the primary no longer leads, or answers no voter."""
         since = self._failing_since(entry.name)
         if since is None or self._timers.now() - since < PROBE_AFTER_S:
             return False
+        if not self._has_other_instance(entry.name):
+            return await self._probe(entry) is False
         probe = asyncio.create_task(self._probe(entry))
         try:
             leads = await self._wait_for_probe(probe, INDIRECT_PROBE_AFTER_S)
