Planned stop: each statement that was accepted is answered

Cause: open transactions were ended once, at half of the grace time, and one whose statement was running then was passed over for good; its later statements were accepted until the end. At the end, cancelled statements were not answered. Ruled out: the deadline, the route's timeout, the instance.

Change: from half of the grace time on a transaction ends between two of its statements, and none begins. A statement that is still running at the end is answered with what is certain: outcome unknown for a commit or a single write, aborted inside a transaction, time-out for a read; those behind it in the buffer as not run. A home does the same for forwarded transactions, and its process waits for the requests that it runs for others.

Why it works: no statement of a transaction is accepted after its end has been due, and both ways out of a running statement write an answer. That a home says "still held" after it has rolled back keeps the sender's next statement from running outside of the transaction.

--- a/src/heatherpier/_platform_proxy.py
+++ b/src/heatherpier/_platform_proxy.py
@@ -62,15 +62,15 @@
 # Fraction from which sessions are closed as they become idle. The balancer probes each
 # second and sends no more callers after two failed probes, which have happened by then.
 CLOSE_IDLE_FRACTION = 0.4
-# Fraction at which open transactions are rolled back.
+# Fraction at which open transactions are rolled back, each between two statements.
 END_TRANSACTIONS_FRACTION = 0.5
 # Fraction from which statements are refused, because they may not end before the kill.
 REFUSE_NEW_FRACTION = 0.55
 # Fraction from which sessions without a statement are closed. A caller that connected
 # before statements were refused has sent its first one by then, if it sends any.
 CLOSE_UNUSED_FRACTION = 0.7
-# Fraction at which the remaining sessions are cut, so that the process exits before
-# the kill.
+# Fraction at which statements that are still running are answered as unfinished, so that
+# the process exits before the kill.
 CUT_FRACTION = 0.9
 STOP_POLL_S = 0.05
 EXIT_OK = 0
@@ -273,14 +273,21 @@
         listener.close_when_idle()
         await self._sleep_until(began + grace_s * END_TRANSACTIONS_FRACTION)
         listener.end_transactions()
+        forwarding = None if self._engine is None else self._engine.forwarding
+        if forwarding is not None:
+            forwarding.end_transactions()
         await self._sleep_until(began + grace_s * REFUSE_NEW_FRACTION)
         listener.refuse_new()
-        while listener.sessions:
+        while listener.sessions or (forwarding is not None and forwarding.is_busy()):
             elapsed_s = self._timers.now() - began
             if elapsed_s >= grace_s * CLOSE_UNUSED_FRACTION:
                 listener.close_unused()
             if elapsed_s >= grace_s * CUT_FRACTION:
-                log.warning("sessions cut", sessions=listener.sessions)
+                log.warning(
+                    "sessions cut",
+                    sessions=listener.sessions,
+                    forwarded=forwarding is not None and forwarding.is_busy(),
+                )
                 return
             await self._timers.sleep(STOP_POLL_S)
         log.info("sessions ended", took_s=round(self._timers.now() - began, 3))
--- a/src/heatherpier/forwarding/_forwarding.py
+++ b/src/heatherpier/forwarding/_forwarding.py
@@ -141,6 +141,15 @@
         if self._server is not None:
             self._server.stop()
 
+    def end_transactions(self) -> None:
+        """Rolls back open transactions of other proxies between two requests."""
+        if self._server is not None:
+            self._server.end_transactions()
+
+    def is_busy(self) -> bool:
+        """Returns whether work of other proxies is running here."""
+        return self._server is not None and self._server.is_busy()
+
     def close(self) -> None:
         """Ends probes and rolls back transactions of other proxies."""
         self._connector.close()
--- a/src/heatherpier/forwarding/_pins.py
+++ b/src/heatherpier/forwarding/_pins.py
@@ -89,6 +89,10 @@
         """Returns the pin of a link, or None if nothing is held for it."""
         return self._pins.get(key)
 
+    def any(self) -> bool:
+        """Returns whether a connection is held for any link."""
+        return bool(self._pins)
+
     def begin(self, pin: Pin) -> None:
         """Counts work on a primary as in flight until `release`."""
         if pin.lease is not None:
@@ -152,6 +156,12 @@
             if key.sender == sender and key.incarnation < incarnation:
                 self.end(key, cause="restarted")
 
+    def end_idle(self, *, cause: str) -> None:
+        """Rolls back the transactions that wait for their next request."""
+        for pin in list(self._pins.values()):
+            if not pin.busy:
+                self.end(pin.key, cause=cause)
+
     def close(self) -> None:
         """Rolls back all transactions."""
         if self._checks is not None:
--- a/src/heatherpier/forwarding/_server.py
+++ b/src/heatherpier/forwarding/_server.py
@@ -168,6 +168,7 @@
         self._timers = timers
         self._began = timers.elapsed()
         self._stopping = False
+        self._ends_transactions = False
         self._waiting = WaitingRequests()
         # Waits for a connection, by link. A link has one request at a time.
         self._acquiring: dict[LinkKey, asyncio.Task[InstanceConnection]] = {}
@@ -190,6 +191,15 @@
             log.info("forwarded statements are refused, this proxy stops")
         self._stopping = True
 
+    def end_transactions(self) -> None:
+        """Rolls back open transactions, each once no request of it is running."""
+        self._ends_transactions = True
+        self._pins.end_idle(cause="stopping")
+
+    def is_busy(self) -> bool:
+        """Returns whether a request is running or a transaction is open here."""
+        return bool(self._running) or self._pins.any()
+
     def close(self) -> None:
         """Rolls back the transactions that are still open."""
         self._pins.close()
@@ -299,6 +309,10 @@
         pin.used_at = self._timers.now()
         if pin.conn.usable and not pin.conn.clean and not self._has_ended(job):
             self._pins.add(pin)
+            if self._ends_transactions:
+                # The sender is told that the transaction is still held, so that its
+                # next request is refused here and is not run outside of it.
+                self._pins.end(job.key, cause="stopping")
             return self._with_load(pin.pool, answer, pinned=True)
         self._pins.release(pin)
         return self._with_load(pin.pool, answer, pinned=False)
--- a/src/heatherpier/forwarding/tests/test_failures.py
+++ b/src/heatherpier/forwarding/tests/test_failures.py
@@ -99,6 +99,30 @@
     assert isinstance((await ask(session, "COMMIT")).outcome, Done)
 
 
+async def test_stopping_home_ends_transactions_between_two_statements(clubs, timers):
+    """Guards against a home that ends while a forwarded transaction is running."""
+    home = clubs.homes()[0]
+    session, running = clubs.session(), clubs.session()
+    for item in (session, running):
+        for text in ("BEGIN", "WRITE a"):
+            await ask(item, text)
+    forwarding = clubs.engines[home].forwarding
+    last = asyncio.create_task(ask(running, "WRITE b"))
+    while not clubs.server(home)._running:
+        await timers.sleep(0.001)
+    forwarding.stop()
+    forwarding.end_transactions()
+    assert forwarding.is_busy()
+    assert isinstance((await last).outcome, Done)
+    assert not forwarding.is_busy()
+    for item in (session, running):
+        reply = await ask(item, "WRITE c")
+        assert reply.outcome.code is Code.ABORTED
+    await timers.sleep(1.0)
+    assert clubs.primary.log == []
+    assert clubs.ran("WRITE c") == []
+
+
 async def test_home_with_a_full_queue_passes_requests_to_the_next(clubs, monkeypatch):
     home, other = clubs.homes()
     monkeypatch.setattr(clubs.server(home)._waiting, "has_room", lambda sender: False)
--- a/src/heatherpier/platform/_channel.py
+++ b/src/heatherpier/platform/_channel.py
@@ -170,6 +170,12 @@
         except TimeoutError:
             raise SilentPeerError(partial=partial) from None
 
+    def take_unread(self) -> list[str]:
+        """Removes and returns the complete lines that wait to be read."""
+        lines = [line.decode(ENCODING) for line in self._lines]
+        self._lines.clear()
+        return lines
+
     def write(self, text: str) -> None:
         """Sends whole messages; does nothing if the connection is closed."""
         if self._transport is not None and not self.closed:
--- a/src/heatherpier/platform/_clients.py
+++ b/src/heatherpier/platform/_clients.py
@@ -15,8 +15,9 @@
     parse_statement,
 )
 from heatherpier.routing import CallerLimits
-from heatherpier.serving import CallerSession
+from heatherpier.serving import IDLE_TOO_LONG, STOPPING, CallerSession
 from heatherpier.statements import (
+    Begin,
     Code,
     Done,
     Failed,
@@ -30,7 +31,7 @@
 # Answer to new callers and statements late in a planned stop: they might not finish
 # before the process is killed.
 STOPPING_FAILURE = Failed(
-    code=Code.OVERLOADED, reason="the proxy is stopping; not run", retry_after_ms=0
+    code=Code.OVERLOADED, reason=f"{STOPPING}; not run", retry_after_ms=0
 )
 # Length of the queue of connections to be accepted. A full queue delays callers by
 # seconds.
@@ -66,6 +67,7 @@
         self._sessions: set[LineSession] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._closes_when_idle = False
+        self._ends_transactions = False
         self._rejects_new = False
 
     async def start(self, *, host: str, port: int) -> None:
@@ -90,6 +92,8 @@
         )
         if self._closes_when_idle:
             session.close_when_idle()
+        if self._ends_transactions:
+            session.end_transactions()
         if self._rejects_new:
             session.refuse_new()
         task = asyncio.create_task(self._serve(session))
@@ -130,15 +134,21 @@
             session.close_unused()
 
     def end_transactions(self) -> None:
-        """Rolls back the open transactions that wait for their next statement.
+        """Rolls back open transactions, each once no statement of it is running.
 
-        That statement is answered with the end of the transaction.
+        The next statement of each is answered with the end of the transaction, and no
+        transaction begins any more.
         """
+        self._ends_transactions = True
         for session in list(self._sessions):
-            session.expire_transaction()
+            session.end_transactions()
 
     async def close(self) -> None:
-        """Stops listening and cuts all sessions."""
+        """Stops listening and cuts all sessions.
+
+        Each statement that has arrived is answered: one that is still running with what
+        is certain of its outcome, the others as not run.
+        """
         if self._server is not None:
             self._server.close()
         for task in list(self._tasks):
@@ -173,13 +183,20 @@
         self._session: CallerSession | None = None
         self._awaits_message = False
         self._closes_when_idle = False
+        self._ends_transactions = False
         self._has_answered = False
         self._rejects_new = False
 
     async def run(self) -> None:
-        """Serves the connection until the session ends, then closes it."""
+        """Serves the connection until the session ends, then closes it.
+
+        It is cancelled at the end of a planned stop.
+        """
         try:
             await self._serve()
+        except asyncio.CancelledError:
+            self._refuse_unread()
+            raise
         except ChannelClosedError:
             # The caller has closed the connection, so no answer can be sent.
             pass
@@ -241,17 +258,54 @@
                 )
             )
             return False
-        if self._rejects_new and not session.in_transaction:
-            self._reject(STOPPING_FAILURE)
-            self._channel.write(format_ready(SessionState.IDLE, None) + "\r\n")
-            return False
         query = Query(id=id_, text=text, statement=parse_statement(text))
-        reply = await session.execute(query)
+        if self._must_refuse(query, session):
+            self._refuse(line)
+            self._refuse_unread()
+            return False
+        reply = await self._execute(query, session)
         self._has_answered = True
         self._channel.write(_format_reply(reply))
+        if self._ends_transactions:
+            session.end_transaction(reason=STOPPING)
         await self._channel.drain()
         return True
 
+    def _must_refuse(self, query: Query, session: CallerSession) -> bool:
+        """Returns whether a planned stop leaves no time for a statement."""
+        if session.in_transaction:
+            return False
+        begins = isinstance(query.statement, Begin)
+        return self._rejects_new or (self._ends_transactions and begins)
+
+    async def _execute(self, query: Query, session: CallerSession) -> Reply:
+        """Runs a statement; if it is cancelled, answers with what is certain of it."""
+        try:
+            return await session.execute(query)
+        except asyncio.CancelledError:
+            reply = session.interrupted_reply(query)
+            log.warning(
+                "running statement cut",
+                id=query.id,
+                database=session.database,
+                answer=_answer_word(reply),
+            )
+            self._channel.write(_format_reply(reply))
+            raise
+
+    def _refuse_unread(self) -> None:
+        """Answers the statements that have arrived and will not be run."""
+        if self._session is None:
+            return
+        for line in self._channel.take_unread():
+            if line.startswith("QUERY "):
+                self._refuse(line)
+
+    def _refuse(self, line: str) -> None:
+        """Answers a statement as not run because of a planned stop."""
+        self._reject(STOPPING_FAILURE, id_=line.split(" ", 2)[1])
+        self._channel.write(format_ready(SessionState.IDLE, None) + "\r\n")
+
     def _may_close(self, session: CallerSession) -> bool:
         """Returns whether the session may be ended now for a planned stop.
 
@@ -285,14 +339,15 @@
         except SilentPeerError as exc:
             if exc.partial or not session.in_transaction or session.transaction_ended:
                 raise
-            session.expire_transaction()
+            session.end_transaction(reason=IDLE_TOO_LONG)
             return None
         finally:
             self._awaits_message = False
 
-    def _reject(self, failure: Failed) -> None:
+    def _reject(self, failure: Failed, *, id_: str | None = None) -> None:
         log.info(
             "caller request rejected",
+            id=id_,
             database=None if self._session is None else self._session.database,
             answer=failure.code.value,
             reason=failure.reason,
@@ -317,13 +372,18 @@
         """Rejects new statements outside of a transaction from now on."""
         self._rejects_new = True
 
-    def expire_transaction(self) -> None:
-        """Rolls back an open transaction that waits for its next statement.
+    def end_transactions(self) -> None:
+        """Rolls back an open transaction once no statement of it is running.
 
-        That statement is answered with the end of the transaction.
+        Its next statement is answered with its end, and no other one may begin.
         """
+        self._ends_transactions = True
         if self._session is not None and self._awaits_message:
-            self._session.expire_transaction()
+            self._session.end_transaction(reason=STOPPING)
+
+
+def _answer_word(reply: Reply) -> str:
+    return reply.outcome.code.value if isinstance(reply.outcome, Failed) else "done"
 
 
 def _format_reply(reply: Reply) -> str:
--- a/src/heatherpier/platform/tests/test_clients.py
+++ b/src/heatherpier/platform/tests/test_clients.py
@@ -49,8 +49,13 @@
             position=LogPosition(1, 2),
         )
 
-    def expire_transaction(self):
-        self.transaction_ended = True
+    def end_transaction(self, *, reason):
+        if self.in_transaction:
+            self.transaction_ended = True
+
+    def interrupted_reply(self, query):
+        outcome = Failed(code=Code.OUTCOME_UNKNOWN, reason=query.text)
+        return Reply(outcome=outcome, state=SessionState.IDLE)
 
     def close(self):
         self.closed = True
@@ -288,6 +293,53 @@
     assert answer.endswith(b"READY I 1.2\r\n")
 
 
+async def test_a_transaction_ends_after_the_statement_that_runs_in_a_stop(
+    listener, connect, sessions
+):
+    # Guards against a transaction that outlives its limit because it was not idle then.
+    streams = await start(connect)
+    await send(streams, "QUERY 1 BEGIN\r\n", lines=3)
+    sessions[0].release = asyncio.Event()
+    streams[1].write(b"QUERY 2 READ a\r\n")
+    await asyncio.sleep(0.1)
+    listener.end_transactions()
+    assert not sessions[0].transaction_ended
+    sessions[0].release.set()
+    assert (await send(streams, "", lines=3))[0] == "ROW READ a\r\n"
+    assert sessions[0].transaction_ended
+
+
+async def test_no_transaction_begins_after_transactions_were_ended(
+    listener, connect, sessions
+):
+    open_before = await start(connect)
+    listener.end_transactions()
+    for streams in (open_before, await start(connect)):
+        streams[1].write(b"QUERY 1 BEGIN\r\nQUERY 2 READ a\r\n")
+        answer = await asyncio.wait_for(streams[0].read(), 5)
+        assert answer.count(b"ERR OVERLOAD") == 2
+        assert answer.endswith(b"READY I -\r\n")
+    assert [session.queries for session in sessions] == [[], []]
+
+
+async def test_the_end_of_a_stop_answers_what_has_arrived(listener, connect, sessions):
+    # Guards against statements that are cut without an answer.
+    streams, idle = await start(connect), await start(connect)
+    sessions[0].release = asyncio.Event()
+    streams[1].write(b"QUERY 1 WRITE a v\r\nQUERY 2 READ b\r\nBYE\r\nQUERY 3 RE")
+    await asyncio.sleep(0.1)
+    await listener.close()
+    answer = (await asyncio.wait_for(streams[0].read(), 5)).decode().split("\r\n")
+    assert [line.split(" ")[0:2] for line in answer[:-1]] == [
+        ["ERR", "INDOUBT"],
+        ["READY", "I"],
+        ["ERR", "OVERLOAD"],
+        ["READY", "I"],
+    ]
+    assert await asyncio.wait_for(idle[0].read(), 5) == b""
+    assert [query.id for query in sessions[0].queries] == ["1"]
+
+
 async def test_late_in_stop_new_statements_are_rejected_and_running_ones_finish(
     listener, connect, sessions
 ):
--- a/src/heatherpier/platform/tests/test_whole_proxy.py
+++ b/src/heatherpier/platform/tests/test_whole_proxy.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import os
+import re
 import signal
 import sys
 
@@ -19,7 +20,10 @@
 
 
 async def serve_instance(reader, writer, texts):
-    """Answers as a primary and records the texts of all statements."""
+    """Answers as a primary and records the texts of all statements.
+
+    A statement on an item `slowN` takes N milliseconds.
+    """
     commits = 0
     await reader.readline()
     writer.write(b"READY I 1.0\r\n")
@@ -27,6 +31,9 @@
         _, _, text = line.decode().strip().split(" ", 2)
         texts.append(text)
         commits += text.startswith("WRITE")
+        slow = re.search(r" slow(\d+)", text)
+        if slow is not None:
+            await asyncio.sleep(int(slow[1]) / 1000)
         writer.write(f"ROW {text}\r\nDONE s\r\nREADY I 1.{commits}\r\n".encode())
     writer.close()
 
@@ -44,7 +51,7 @@
     route = {
         "host": "db1",
         "kind": "primary",
-        "timeoutMs": 800,
+        "timeoutMs": 5000,
         "targetLatencyMs": 400,
         "priority": 1,
         "service": "claims",
@@ -180,6 +187,89 @@
     assert "sessions cut" not in messages
 
 
+async def run_until_closed(streams, texts, *, first=1):
+    """Sends statements, each after the answer to the one before, until the end.
+
+    Returns:
+        The answers; the last one is empty if the connection ended without it.
+    """
+    answers = []
+    for number, text in enumerate(texts, first):
+        streams[1].write(f"QUERY {number} {text}\r\n".encode())
+        answer = []
+        while not answer or not answer[-1].startswith("READY"):
+            async with asyncio.timeout(TIMEOUT_S):
+                line = (await streams[0].readline()).decode()
+            if not line:
+                return [*answers, ""]
+            answer.append(line)
+        answers.append(" ".join(answer))
+        if "ABORTED" in answers[-1] or "OVERLOAD" in answers[-1]:
+            break
+    return answers
+
+
+async def open_session(port):
+    streams = await asyncio.open_connection(HOST, port)
+    assert await exchange(streams, "START db1 u1\r\n", 1) == ["READY I -\r\n"]
+    return streams
+
+
+@pytest.mark.parametrize("late_s", [0.3, 0.8])
+async def test_a_stop_answers_each_statement_of_a_long_transaction(
+    deployment, proxy, late_s
+):
+    # Guards against a transaction whose statement is running at half of the grace time
+    # and which is then cut late in the stop, without an answer.
+    streams = await open_session(deployment[0])
+    proxy.send_signal(signal.SIGTERM)
+    await asyncio.sleep(late_s)
+    texts = ["BEGIN", *["WRITE slow220 v"] * 12, "COMMIT"]
+    began = asyncio.get_running_loop().time()
+    answers = await run_until_closed(streams, texts)
+    assert "" not in answers
+    assert "ABORTED" in answers[-1]
+    # One statement may be running at half of the grace time of 2 s.
+    assert asyncio.get_running_loop().time() - began < 1.0 - late_s + 0.22 + 0.4
+    await asyncio.wait_for(proxy.communicate(), TIMEOUT_S)
+    assert proxy.returncode == 0
+    assert "COMMIT" not in deployment[4]
+
+
+async def test_a_stop_refuses_a_transaction_that_begins_too_late(deployment, proxy):
+    streams = await open_session(deployment[0])
+    proxy.send_signal(signal.SIGTERM)
+    await asyncio.sleep(1.05)
+    [answer] = await run_until_closed(streams, ["BEGIN", "WRITE a v"])
+    assert answer.startswith("ERR OVERLOAD")
+    await asyncio.wait_for(proxy.communicate(), TIMEOUT_S)
+
+
+async def test_a_statement_beyond_the_grace_time_is_answered_as_unknown(
+    deployment, proxy
+):
+    # Guards against a statement that is cut at the end of the stop without an answer,
+    # and against statements behind it in the buffer that are never answered.
+    write, read, second = [await open_session(deployment[0]) for _ in range(3)]
+    proxy.send_signal(signal.SIGTERM)
+    proxy.send_signal(signal.SIGTERM)
+    await asyncio.sleep(0.9)
+    write[1].write(b"QUERY 1 WRITE slow3000 v\r\n")
+    read[1].write(b"QUERY 1 READ slow3000\r\nQUERY 2 READ b\r\n")
+    second[1].write(b"QUERY 1 BEGIN\r\nQUERY 2 WRITE slow3000 v\r\n")
+    answers = [
+        await asyncio.wait_for(item[0].read(), 5) for item in (write, read, second)
+    ]
+    out, _ = await asyncio.wait_for(proxy.communicate(), TIMEOUT_S)
+    assert proxy.returncode == 0
+    assert b"running statement cut" in out
+    assert answers[0].startswith(b"ERR INDOUBT")
+    assert answers[1].startswith(b"ERR TIMEOUT")
+    assert answers[1].count(b"ERR OVERLOAD") == 1
+    assert answers[2].count(b"ERR ABORTED") == 1
+    assert "READ b" not in deployment[4]
+
+
 def test_log_output_does_not_block_if_nobody_reads_it():
     reader, writer = os.pipe()
     output = BoundedOutput(writer, max_bytes=100_000)
--- a/src/heatherpier/serving/__init__.py
+++ b/src/heatherpier/serving/__init__.py
@@ -7,10 +7,18 @@
 from heatherpier.serving._read_balancer import ReadBalancer
 from heatherpier.serving._replica_selector import ReplicaSelector
 from heatherpier.serving._runner import Runner
-from heatherpier.serving._session import CallerSession, find_route, identify_caller
+from heatherpier.serving._session import (
+    IDLE_TOO_LONG,
+    STOPPING,
+    CallerSession,
+    find_route,
+    identify_caller,
+)
 from heatherpier.serving._shared_positions import SharedPositions
 
 __all__ = [
+    "IDLE_TOO_LONG",
+    "STOPPING",
     "CallerSession",
     "ServingContext",
     "InstanceHealth",
--- a/src/heatherpier/serving/_session.py
+++ b/src/heatherpier/serving/_session.py
@@ -39,6 +39,9 @@
 from heatherpier.telemetry import get_logger
 
 log = get_logger("serving")
+# Reasons that callers hear for the end of their transaction.
+IDLE_TOO_LONG = "it was idle for too long"
+STOPPING = "the proxy is stopping"
 # Fraction of the latency objective for which an operation waits for a right, and the
 # longest such wait in seconds.
 RIGHT_WAIT_FRACTION = 0.25
@@ -114,6 +117,7 @@
         self._values: dict[str, str] = {}
         self._prepared: dict[str, PrepareShape] = {}
         self._transaction: Transaction | None = None
+        self._ended_because = IDLE_TOO_LONG
         # The right of the open transaction, once one of its statements was run.
         self._right: Right | None = None
         self._own_commit: LogPosition | None = None
@@ -235,19 +239,52 @@
             self._note_commit(reply)
         return replace(reply, state=SessionState.IDLE)
 
-    def expire_transaction(self) -> None:
-        """Rolls back a transaction that was idle for too long."""
-        if self._transaction is not None:
-            log.info("idle transaction rolled back", database=self.database)
-            self._transaction.roll_back()
+    def end_transaction(self, *, reason: str) -> None:
+        """Rolls back the open transaction between two of its statements.
+
+        The next statement is answered with ``reason``.
+        """
+        if self._transaction is None or self._transaction.ended:
+            return
+        log.info(
+            "open transaction rolled back",
+            database=self.database,
+            reason=reason,
+            bound=self._transaction.bound,
+        )
+        self._ended_because = reason
+        self._transaction.roll_back()
+
+    def interrupted_reply(self, query: Query) -> Reply:
+        """Returns the answer to a statement whose execution was cancelled.
+
+        The transaction, if one is open, has to be rolled back afterwards, by `close`.
+        """
+        match query.statement:
+            case Commit():
+                code = Code.OUTCOME_UNKNOWN
+            case _ if self.in_transaction:
+                code = Code.ABORTED
+            case Write():
+                code = Code.OUTCOME_UNKNOWN
+            case Execute(name=name) if self._writes(name):
+                code = Code.OUTCOME_UNKNOWN
+            case _:
+                code = Code.TIMEOUT
+        return failed_reply(code, f"{STOPPING}; the statement was still running")
+
+    def _writes(self, name: str) -> bool:
+        prepared = self._prepared.get(name)
+        return prepared is not None and prepared.access is Access.WRITE
 
     async def _execute(self, query: Query, name: str, arguments: str) -> Reply:
         prepared = self._prepared.get(name)
         if prepared is None:
             return self._unknown_name_reply(name)
         call = ForwardExecute(id=query.id, name=prepared.name, arguments=arguments)
-        writes = prepared.access is Access.WRITE
-        return await self._run(query, writes=writes, call=call, prepared=prepared)
+        return await self._run(
+            query, writes=self._writes(name), call=call, prepared=prepared
+        )
 
     async def _run(
         self,
@@ -340,7 +377,9 @@
     def _rolled_back_reply(self) -> Reply:
         self._transaction = None
         return failed_reply(
-            Code.ABORTED, "the transaction was rolled back while it was idle"
+            Code.ABORTED,
+            f"the transaction was rolled back, {self._ended_because}",
+            retry_after_ms=0 if self._ended_because == STOPPING else None,
         )
 
     def _identify(self, route: Route) -> str | Failed:
--- a/src/heatherpier/serving/tests/test_writes.py
+++ b/src/heatherpier/serving/tests/test_writes.py
@@ -1,8 +1,12 @@
 """Writes and transactions with lost answers and busy, down or former primaries."""
 
+import asyncio
+
 import pytest
 
 from heatherpier.bench import ask
+from heatherpier.bench._simulated_deployment import query
+from heatherpier.serving import IDLE_TOO_LONG, STOPPING
 from heatherpier.statements import Code, Done, SessionState
 
 
@@ -125,13 +129,63 @@
     session = deployment.open("claims-exact")
     await ask(session, "BEGIN")
     await ask(session, "WRITE a")
-    session.expire_transaction()
+    session.end_transaction(reason=IDLE_TOO_LONG)
     reply = await ask(session, "WRITE b")
     assert reply.outcome.code is Code.ABORTED
     assert isinstance((await ask(session, "READ c")).outcome, Done)
     assert primary.log == []
 
 
+async def test_a_transaction_ended_by_a_stop_is_rolled_back_before_its_connection_is_used(
+    deployment, primary, timers
+):
+    # Guards against an answer "aborted" while the transaction is still open.
+    session = deployment.open("claims-exact")
+    await ask(session, "BEGIN")
+    await ask(session, "WRITE a")
+    session.end_transaction(reason=STOPPING)
+    session.end_transaction(reason=IDLE_TOO_LONG)
+    reply = await ask(session, "COMMIT")
+    assert reply.outcome.code is Code.ABORTED
+    assert STOPPING in reply.outcome.reason
+    assert isinstance((await ask(session, "READ b")).outcome, Done)
+    assert not runs(deployment, "READ b")[0].in_transaction
+    assert primary.log == []
+
+
+@pytest.mark.parametrize(
+    ("opening", "text", "code"),
+    [
+        ((), "READ a", Code.TIMEOUT),
+        ((), "WRITE a", Code.OUTCOME_UNKNOWN),
+        (("BEGIN",), "READ a", Code.ABORTED),
+        (("BEGIN", "WRITE a"), "WRITE b", Code.ABORTED),
+        (("BEGIN", "WRITE a"), "COMMIT", Code.OUTCOME_UNKNOWN),
+    ],
+    ids=str,
+)
+async def test_the_answer_to_a_cancelled_statement_is_true(
+    deployment, primary, timers, opening, text, code
+):
+    # Guards against a promise that nothing is kept of a statement that may have run.
+    session = deployment.open("claims-exact")
+    for earlier in opening:
+        await ask(session, earlier)
+    cut = query(text)
+    running = asyncio.create_task(session.execute(cut))
+    await timers.sleep(0.003)
+    running.cancel()
+    await asyncio.wait({running})
+    assert running.cancelled()
+    reply = session.interrupted_reply(cut)
+    session.close()
+    assert reply.outcome.code is code
+    assert reply.state is SessionState.IDLE
+    await timers.sleep(1.0)
+    if reply.outcome.not_run:
+        assert primary.log == []
+
+
 async def test_a_removed_database_is_unknown_after_the_open_transaction(
     deployment, timers
 ):
