Synchronous replicas: instances count until they are back, replaced or lost for good

Cause: a change promotes the furthest log while fewer than n instances are missing, and counted as missing only those with an entry at that moment. Entries of crashed instances expire. Ruled out: store, promotions and proxies, which were calm; the rule itself.

Change: the instances of such a service are kept, by name and address, in the row replicas/SERVICE of the fleet's table, which voters write where the configuration asks for synchronous replicas. They count until they are back, another instance has their address, or their entry has been missing for 30 s. The old primary is chosen if it is back first.

--- a/src/heatherpier/_proxy_engine.py
+++ b/src/heatherpier/_proxy_engine.py
@@ -49,6 +49,7 @@
     PrimaryLeases,
     PrimaryWatcher,
     Registration,
+    ReplicaSets,
     SampleExchange,
     Successors,
 )
@@ -262,9 +263,18 @@
             view=self.view,
             timers=timers,
         )
+        self._replica_sets = ReplicaSets(
+            me,
+            store=ports.store,
+            view=self.view,
+            registry=self._registry,
+            synchronous=self._synchronous_replicas,
+            timers=timers,
+        )
         self._successors = Successors(
             registry=self._registry,
             control=self._ports.control,
+            replica_sets=self._replica_sets,
             synchronous=self._synchronous_replicas,
             timers=timers,
         )
@@ -282,6 +292,7 @@
             timers=timers,
         )
         self._watchers: dict[str, asyncio.Task[None]] = {}
+        self._records_replicas = False
 
     def _make_rate_limits(
         self, window: QuotaWindow, started_at: float | None, metrics: CollectorRegistry
@@ -474,6 +485,11 @@
             )
         for service in self._watchers.keys() - table.services.keys():
             self._watchers.pop(service).cancel()
+        if not self._records_replicas and any(
+            spec.synchronous_replicas for spec in table.services.values()
+        ):
+            self._records_replicas = True
+            self._start_task(self._replica_sets.run)
 
     def _make_watcher(self, service: str) -> PrimaryWatcher:
         return PrimaryWatcher(
--- a/src/heatherpier/leases/__init__.py
+++ b/src/heatherpier/leases/__init__.py
@@ -34,6 +34,7 @@
 from heatherpier.leases._registration import Registration
 from heatherpier.leases._releases import LeaseReleases
 from heatherpier.leases._removal import MemberRemoval
+from heatherpier.leases._replica_sets import ReplicaSets
 from heatherpier.leases._sample_exchange import PositionSamples, SampleExchange
 from heatherpier.leases._successors import Successors
 from heatherpier.leases._table_fallback import PeerTableFallback
@@ -85,6 +86,7 @@
     "PositionSamples",
     "Promotions",
     "Registration",
+    "ReplicaSets",
     "SampleExchange",
     "Successors",
     "LeaseReleases",
--- /dev/null
+++ b/src/heatherpier/leases/_replica_sets.py
@@ -0,0 +1,178 @@
+"""Instances that may hold acknowledged commits of services with synchronous replicas.
+
+A commit is acknowledged once some replicas have received it. Whether a log surely has all
+acknowledged commits depends on all instances that could have received them, also on those
+that are down now, whose entries have expired, and that only earlier processes have seen.
+So the instances of each such service are kept in a row of the fleet's table.
+"""
+
+from collections.abc import Callable
+
+import msgspec
+
+from heatherpier.discovery import InstanceRecord, InstanceRegistry
+from heatherpier.leases._view import FLEET_TABLE, FleetView
+from heatherpier.tables import Row, RowStore, StoreError
+from heatherpier.telemetry import get_logger
+from heatherpier.timers import Timers
+
+log = get_logger("leases")
+REPLICAS_PREFIX = "replicas/"
+CHECK_PERIOD_S = 0.25
+# Time between the moments at which two voters write the same row.
+STAGGER_S = 0.5
+# An instance whose entry has been missing for this long is lost for good. Its commits can't
+# be waited for any longer, so a service is then served by the furthest log that is left.
+GONE_AFTER_S = 30.0
+
+
+class _ReplicaSet(msgspec.Struct, frozen=True, kw_only=True):
+    """Content of a row: the address of each instance, by name."""
+
+    instances: dict[str, str]
+
+
+_decoder = msgspec.json.Decoder(_ReplicaSet)
+
+
+class ReplicaSets:
+    """Keeps the set of instances of each service with synchronous replicas.
+
+    Args:
+        me: Name of this proxy.
+        store: The store.
+        view: Members and leaders.
+        registry: The registered instances.
+        synchronous: Returns how many replicas of a service hold a commit when it is
+            acknowledged.
+        timers: Timer service.
+    """
+
+    def __init__(
+        self,
+        me: str,
+        *,
+        store: RowStore,
+        view: FleetView,
+        registry: InstanceRegistry,
+        synchronous: Callable[[str], int],
+        timers: Timers,
+    ) -> None:
+        self._me = me
+        self._store = store
+        self._view = view
+        self._registry = registry
+        self._synchronous = synchronous
+        self._timers = timers
+        # Address of each instance that a row or this process knows, by service and name.
+        self._recorded: dict[str, dict[str, str]] = {}
+        self._versions: dict[str, int] = {}
+        self._seen: dict[str, dict[str, str]] = {}
+        # Time by `Timers.elapsed` since which an instance has not been registered.
+        self._absent_since: dict[str, float] = {}
+        self._incomplete_since: dict[str, float] = {}
+        view.copy.subscribe(self._apply)
+        registry.subscribe(self._note_instance)
+
+    def missing(self, service: str, *, answering: set[str]) -> set[str]:
+        """Returns the instances that may hold acknowledged commits, but do not answer.
+
+        Args:
+            service: Name of the service.
+            answering: Names of the instances that answer.
+        """
+        registered = {item.name for item in self._registry.of_service(service)}
+        return (self._expected(service).keys() | registered) - answering
+
+    def _expected(self, service: str) -> dict[str, str]:
+        """Returns the known instances without those that are lost for good or replaced.
+
+        The log of a leaving instance passes to the one that takes its address.
+        """
+        known = self._recorded.get(service, {}) | self._seen.get(service, {})
+        registered = self._registry.of_service(service)
+        addresses = {_address(item): item.name for item in registered}
+        return {
+            name: address
+            for name, address in known.items()
+            if addresses.get(address, name) == name and not self._is_gone(name)
+        }
+
+    def _is_gone(self, name: str) -> bool:
+        since = self._absent_since.get(name)
+        return since is not None and self._timers.elapsed() - since >= GONE_AFTER_S
+
+    def _apply(self, row: Row) -> None:
+        if not row.key.startswith(REPLICAS_PREFIX):
+            return
+        service = row.key.removeprefix(REPLICAS_PREFIX)
+        self._versions[service] = row.version if row.body is not None else 0
+        try:
+            body = row.body or b'{"instances":{}}'
+            self._recorded[service] = _decoder.decode(body).instances
+        except msgspec.MsgspecError as exc:
+            log.warning("replicas row can't be decoded", key=row.key, reason=str(exc))
+            # What was recorded before still holds, and the row is written anew.
+            earlier = self._recorded.pop(service, {})
+            self._seen[service] = earlier | self._seen.get(service, {})
+            return
+        for name in self._recorded[service]:
+            if self._registry.get(name) is None:
+                self._absent_since.setdefault(name, self._timers.elapsed())
+
+    def _note_instance(self, record: InstanceRecord | None, name: str) -> None:
+        if record is None:
+            self._absent_since[name] = self._timers.elapsed()
+            return
+        self._absent_since.pop(name, None)
+        self._seen.setdefault(record.service, {})[name] = _address(record)
+
+    async def run(self) -> None:
+        """Records instances in the rows of their services, until cancelled."""
+        async for _ in self._timers.every(CHECK_PERIOD_S):
+            await self._record_all()
+
+    async def _record_all(self) -> None:
+        """Writes the rows that are not up to date.
+
+        Voters write one after the other, so that usually only the first one does.
+        """
+        voters = sorted(self._view.voters())
+        if self._me not in voters:
+            return
+        now = self._timers.elapsed()
+        for service in {item.service for item in self._registry.all()}:
+            if not self._synchronous(service):
+                continue
+            expected = self._expected(service)
+            if not expected or expected == self._recorded.get(service):
+                self._incomplete_since.pop(service, None)
+                continue
+            since = self._incomplete_since.setdefault(service, now)
+            if now - since >= voters.index(self._me) * STAGGER_S:
+                await self._write(service, expected)
+
+    async def _write(self, service: str, instances: dict[str, str]) -> None:
+        key = REPLICAS_PREFIX + service
+        body = msgspec.json.encode(_ReplicaSet(instances=instances))
+        try:
+            version = await self._store.put(
+                FLEET_TABLE, key, body, expected=self._versions.get(service, 0)
+            )
+        except StoreError as exc:
+            # Another voter was first, or the store is away; it is tried again.
+            log.info("replicas not recorded", service=service, reason=str(exc))
+            self._incomplete_since.pop(service, None)
+            return
+        log.info(
+            "replicas recorded",
+            service=service,
+            instances=sorted(instances),
+            dropped=sorted(self._recorded.get(service, {}).keys() - instances.keys()),
+            version=version,
+        )
+        self._view.copy.apply_row(Row(key=key, version=version, body=body))
+
+
+def _address(record: InstanceRecord) -> str:
+    return f"{record.instance.host}:{record.instance.port}"
--- a/src/heatherpier/leases/_successors.py
+++ b/src/heatherpier/leases/_successors.py
@@ -11,6 +11,7 @@
     InstanceControl,
     ReplicationStatus,
 )
+from heatherpier.leases._replica_sets import ReplicaSets
 from heatherpier.positions import LogPosition
 from heatherpier.telemetry import get_logger
 from heatherpier.timers import Timers
@@ -50,6 +51,7 @@
     Args:
         registry: The registered instances.
         control: Control statements to instances.
+        replica_sets: Instances that may hold acknowledged commits.
         synchronous: Returns how many replicas of a service hold a commit when it is
             acknowledged.
         timers: Timer service.
@@ -60,11 +62,13 @@
         *,
         registry: InstanceRegistry,
         control: InstanceControl,
+        replica_sets: ReplicaSets,
         synchronous: Callable[[str], int],
         timers: Timers,
     ) -> None:
         self._registry = registry
         self._control = control
+        self._replica_sets = replica_sets
         self._synchronous = synchronous
         self._timers = timers
 
@@ -114,6 +118,7 @@
             excluded: Names of instances that could not be promoted.
         """
         until = self._timers.now() + CATCH_UP_TIMEOUT_S
+        waits = False
         while True:
             candidates = await self._find_candidates(change, excluded)
             if candidates:
@@ -124,6 +129,16 @@
                 ):
                     _log_choice(change, best, min_position, count=len(candidates))
                     return best
+                if not waits:
+                    waits = True
+                    log.info(
+                        "successor not chosen yet",
+                        service=change.service,
+                        furthest=best.record.name,
+                        position=str(best.position),
+                        least=str(min_position),
+                        missing=sorted(self._missing(change, candidates)),
+                    )
             if not candidates or self._timers.now() >= until:
                 previous = await self._find_previous(change, excluded)
                 if previous is not None or not candidates:
@@ -200,17 +215,22 @@
         """Returns whether to promote without a log that reaches ``min_position``.
 
         With n synchronous replicas, each acknowledged commit is in the logs of n
-        instances besides the old primary. As long as fewer than n of these instances
-        are missing, the furthest log among the candidates holds every acknowledged
-        commit. Without synchronous replicas, a planned change waits until ``until``
-        for the log to catch up.
+        instances besides the old primary. As long as fewer than n of the instances that
+        may hold them are missing, the furthest log among the candidates has every
+        acknowledged commit. Without synchronous replicas, a planned change waits until
+        ``until`` for the log to catch up.
         """
         synchronous = self._synchronous(change.service)
         if synchronous:
-            missing = len(self._others(change)) - len(candidates)
-            return missing < synchronous
+            return len(self._missing(change, candidates)) < synchronous
         return min_position is None or self._timers.now() >= until
 
+    def _missing(self, change: PrimaryChange, candidates: list[Candidate]) -> set[str]:
+        answering = {item.record.name for item in candidates}
+        return self._replica_sets.missing(
+            change.service, answering=answering | {change.previous}
+        )
+
 
 def _log_choice(
     change: PrimaryChange,
--- a/src/heatherpier/leases/tests/test_model.py
+++ b/src/heatherpier/leases/tests/test_model.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from heatherpier.leases.tests import _keep_model, _restore_model
+from heatherpier.leases.tests import _keep_model, _restore_model, _synchronous_model
 from heatherpier.leases.tests._model import Rules, find_two_primaries
 
 
@@ -51,3 +51,15 @@
 def test_the_search_finds_a_kept_primary_that_was_replaced_without_one_rule(rule):
     rules = dataclasses.replace(_keep_model.Rules(), **{rule: False})
     assert _keep_model.find_two_primaries(rules) is not None
+
+
+def test_no_order_of_events_loses_an_acknowledged_commit():
+    assert _synchronous_model.find_lost_commit(_synchronous_model.Rules()) is None
+
+
+@pytest.mark.parametrize(
+    "rule", [field.name for field in dataclasses.fields(_synchronous_model.Rules)]
+)
+def test_the_search_finds_a_lost_commit_without_one_rule_of_the_choice(rule):
+    rules = dataclasses.replace(_synchronous_model.Rules(), **{rule: False})
+    assert _synchronous_model.find_lost_commit(rules) is not None
