Change of primary: names of the progress of promotions; a silent last instance, a raised syncReplicas

Two related paths have tests: the last instance is silent and answers again, and synchronous replicas are asked for by a later configuration.

--- a/src/heatherpier/leases/_changer.py
+++ b/src/heatherpier/leases/_changer.py
@@ -169,10 +169,10 @@
         min_position: LogPosition | None = None
         if change.planned:
             min_position = await self._fetch_last_position(change)
-        promoting = _Promoting(
+        progress = _PromotionProgress(
             change=change, record=record, term=term, effective_at=effective_at
         )
-        return await self._promote(promoting, min_position=min_position)
+        return await self._promote(progress, min_position=min_position)
 
     async def _fetch_last_position(self, change: PrimaryChange) -> LogPosition | None:
         """Returns the last position of the old primary, or None if it is not known.
@@ -197,41 +197,41 @@
         return status.position
 
     async def _promote(
-        self, promoting: "_Promoting", *, min_position: LogPosition | None
+        self, progress: "_PromotionProgress", *, min_position: LogPosition | None
     ) -> tuple[InstanceRecord, ReplicationStatus]:
         excluded: set[str] = set()
         while True:
             choice = await self._successors.choose(
-                promoting.change, min_position=min_position, excluded=excluded
+                progress.change, min_position=min_position, excluded=excluded
             )
             if choice is None:
                 excluded.clear()
                 await self._timers.sleep(PROMOTION_RETRY_S)
                 continue
             target = choice.record
-            if target.name == promoting.change.previous:
-                status = await self._keep(promoting, choice)
+            if target.name == progress.change.previous:
+                status = await self._keep(progress, choice)
             else:
-                status = await self._promote_successor(promoting, choice)
+                status = await self._promote_successor(progress, choice)
             if status is not None:
                 return target, status
             excluded.add(target.name)
 
     async def _promote_successor(
-        self, promoting: "_Promoting", successor: Candidate
+        self, progress: "_PromotionProgress", successor: Candidate
     ) -> ReplicationStatus | None:
         """Promotes an instance; returns its status once it leads, or None."""
-        earlier_effective_at = promoting.effective_at
-        if not await self._request_promotion(promoting, successor.record):
+        earlier_effective_at = progress.effective_at
+        if not await self._request_promotion(progress, successor.record):
             return None
         if successor.status.leads and earlier_effective_at is not None:
             # An earlier request had it promoted, so this one changed nothing. A later
             # request of that coordinator, for another instance, may still take effect.
             await self._sleep_until(earlier_effective_at)
-        return await self._wait_for_promotion(promoting, successor.record)
+        return await self._wait_for_promotion(progress, successor.record)
 
     async def _request_promotion(
-        self, promoting: "_Promoting", target: InstanceRecord
+        self, progress: "_PromotionProgress", target: InstanceRecord
     ) -> bool:
         """Requests a promotion; returns whether it may take effect.
 
@@ -239,9 +239,9 @@
             ChangeConflictError: Another proxy has taken the change over.
             ChangeFailedError: The view is too old to show whether one has.
         """
-        change, record = promoting.change, promoting.record
+        change, record = progress.change, progress.record
         self._require_coordinator(record, change)
-        promoting.accepted = False
+        progress.accepted = False
         try:
             await self._promotions.promote(
                 change.service, target.name, holder=self._me, token=record.version
@@ -262,12 +262,12 @@
                 reason=str(exc),
             )
         else:
-            promoting.accepted = True
-        promoting.effective_at = self._timers.elapsed() + PROMOTION_EFFECT_TIMEOUT_S
+            progress.accepted = True
+        progress.effective_at = self._timers.elapsed() + PROMOTION_EFFECT_TIMEOUT_S
         return True
 
     async def _keep(
-        self, promoting: "_Promoting", old: Candidate
+        self, progress: "_PromotionProgress", old: Candidate
     ) -> ReplicationStatus | None:
         """Lets the old primary lead on; returns its status, or None if it does not.
 
@@ -277,21 +277,21 @@
         primary, and gives it a newer term if another instance is. Its status shows which
         of the two once that request would have taken effect as well.
         """
-        if promoting.effective_at is not None:
-            await self._sleep_until(promoting.effective_at)
-        elif old.status.leads and old.status.term >= promoting.term:
+        if progress.effective_at is not None:
+            await self._sleep_until(progress.effective_at)
+        elif old.status.leads and old.status.term >= progress.term:
             return old.status
-        known_term = max(promoting.term, old.status.term)
-        if not await self._request_promotion(promoting, old.record):
+        known_term = max(progress.term, old.status.term)
+        if not await self._request_promotion(progress, old.record):
             return None
-        if not promoting.accepted or promoting.effective_at is None:
+        if not progress.accepted or progress.effective_at is None:
             return None
         while True:
             status = await self._successors.fetch_status(old.record)
             leads = status is not None and status.leads
             if status is not None and leads and status.term > known_term:
                 return status
-            if self._timers.elapsed() >= promoting.effective_at:
+            if self._timers.elapsed() >= progress.effective_at:
                 break
             await self._timers.sleep(PROMOTION_RETRY_S)
         if status is None or not leads or status.term < known_term:
@@ -322,16 +322,16 @@
             )
 
     async def _wait_for_promotion(
-        self, promoting: "_Promoting", target: InstanceRecord
+        self, progress: "_PromotionProgress", target: InstanceRecord
     ) -> ReplicationStatus | None:
         """Returns the status of an instance once it leads a newer term, or None.
 
         An earlier coordinator of the same change may have had the instance promoted
         before it was asked for its term. So any term above the old primary's will do.
         """
-        above = promoting.term
-        if promoting.change.term != UNKNOWN_TERM:
-            above = min(above, promoting.change.term)
+        above = progress.term
+        if progress.change.term != UNKNOWN_TERM:
+            above = min(above, progress.change.term)
         until = self._timers.now() + PROMOTION_EFFECT_TIMEOUT_S
         while self._timers.now() < until:
             status = await self._successors.fetch_status(target)
@@ -343,7 +343,7 @@
 
 
 @dataclass(slots=True, kw_only=True)
-class _Promoting:
+class _PromotionProgress:
     """Progress of the promotions of one change.
 
     Attributes:
--- a/src/heatherpier/leases/tests/test_last_instance.py
+++ b/src/heatherpier/leases/tests/test_last_instance.py
@@ -247,7 +247,7 @@
     deployment, group, timers, monkeypatch
 ):
     # Shows that the test above finds an old primary that is kept unasked in a takeover.
-    async def keep_unasked(self, promoting, old):
+    async def keep_unasked(self, progress, old):
         return old.status
 
     monkeypatch.setattr(PrimaryChanger, "_keep", keep_unasked)
@@ -280,3 +280,22 @@
 
 def test_effects_of_promotions_fit_into_a_change():
     assert 2 * PROMOTION_EFFECT_TIMEOUT_S + 3.0 < CHANGE_TIMEOUT_S
+
+
+async def test_a_silent_last_instance_is_used_as_soon_as_it_answers(
+    deployment, group, timers
+):
+    # Guards against a change that begins although nothing can be promoted.
+    await timers.sleep(SETTLED_S)
+    primary, *replicas = group.instances.values()
+    lose_for_good(deployment, *replicas)
+    await timers.sleep(MISSING_GRACE_S + 1.0)
+    await read_through_every_proxy(deployment)
+    primary.unresponsive = True
+    for _ in range(5):
+        await ask(deployment.open("claims-exact"), "READ claim")
+        await timers.sleep(1.0)
+    assert find_state(deployment) is None
+    primary.unresponsive = False
+    await write_until_served(deployment, timers)
+    assert group.promotions == []
--- a/src/heatherpier/leases/tests/test_synchronous_replicas.py
+++ b/src/heatherpier/leases/tests/test_synchronous_replicas.py
@@ -246,3 +246,18 @@
     await timers.sleep(LAPSED_S)
     assert group.primary().name == "claims-2"
     assert not holds(group.primary(), commit)
+
+
+async def test_instances_are_recorded_once_a_configuration_asks_for_it(timers):
+    async with SimulatedDeployment(timers=timers) as running:
+        running._synchronous = 1
+        running.configure(running.routes())
+        await timers.sleep(SETTLED_S)
+        assert recorded(running) == {"claims-0", "claims-1", "claims-2"}
+        # Without synchronous replicas no instance is waited for.
+        running._synchronous = 0
+        running.configure(running.routes())
+        group = running.groups["claims"]
+        await lose_both_that_have_the_last_commit(running, group, timers)
+        await timers.sleep(LAPSED_S)
+        assert group.primary().name == "claims-2"
