Quotas: the model gives each version policies of its own classes

Change: the model makes the policy of the classes of the version that a process runs. No check changes.

--- a/src/heatherpier/quotas/tests/_model.py
+++ b/src/heatherpier/quotas/tests/_model.py
@@ -7,13 +7,15 @@
 """
 
 import random
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field, fields, is_dataclass, replace
+from types import ModuleType
 
 import logbook
 
 from heatherpier.bench._row_store import MemoryRowStore
 from heatherpier.fleet import Peer
 from heatherpier.leases import FLEET_TABLE, MEMBER_PREFIX, FleetView, encode_member
+from heatherpier.quotas import _policies
 from heatherpier.quotas._allocators import RIGHT_VALIDITY_S
 from heatherpier.quotas._buckets import Buckets, Rate
 from heatherpier.quotas._fleet_rows import FleetRows
@@ -52,7 +54,8 @@
     """The classes of one version of the product that a process runs.
 
     Args:
-        has_policies: Whether its allocators take a policy and the start of the process.
+        policies: Module of its policies, or None if its allocators take neither a policy
+            nor the start of the process.
     """
 
     fleet_view: type = FleetView
@@ -62,7 +65,20 @@
     buckets: type = Buckets
     rate: type = Rate
     issuer: type = RightsIssuer
-    has_policies: bool = True
+    policies: ModuleType | None = _policies
+
+    def own_policy(self, value):
+        """Returns a policy, or a part of one, made of the classes of this version.
+
+        A version matches on its own classes and recognizes no others.
+        """
+        if not is_dataclass(value):
+            return value
+        parts = {
+            item.name: self.own_policy(getattr(value, item.name))
+            for item in fields(value)
+        }
+        return getattr(self.policies, type(value).__name__)(**parts)
 
 
 PRESENT = Build()
@@ -280,13 +296,18 @@
         buckets = build.buckets(
             lambda _: build.rate(process.rate.per_s, process.rate.burst)
         )
-        options = {"policy": self.policy, "started_at": timers.time}
+        options = {}
+        if build.policies is not None:
+            options = {
+                "policy": build.own_policy(self.policy),
+                "started_at": timers.time,
+            }
         issuer = build.issuer(
             name,
             rows=rows,
             buckets=buckets,
             timers=timers,
-            **(options if build.has_policies else {}),
+            **options,
         )
         old = self.configured if self.all_configured_at is None else OLD
         process = Process(peer, view, rows, issuer, proof, build, old, buckets=buckets)
@@ -394,7 +415,7 @@
         bunched, phase = self.spends is None, round(now % CYCLE_S, 6)
         for process in list(self.running.values()):
             process.issuer.update()
-            if process.build.has_policies:
+            if process.build.policies is not None:
                 process.issuer.note_silent(())
             for other in self.allocators():
                 asks = (
--- a/src/heatherpier/quotas/tests/test_versions.py
+++ b/src/heatherpier/quotas/tests/test_versions.py
@@ -23,7 +23,7 @@
         buckets=buckets.Buckets,
         rate=buckets.Rate,
         issuer=load("quotas._issuer").RightsIssuer,
-        has_policies=policies is not None,
+        policies=None if policies is None else load("quotas._policies"),
     )
 
 
