Soak: a proxy is replaced only once it listens

Trace: proxy-0 was started three times and logged "started" twice; a random fault had just started it again, and replace_each sent SIGTERM before it listened. The check for random faults leaves that out, since such a process has no callers to wait for; replace_each had no such condition.

Change: replace_each waits until the proxy accepts callers, and fails if it does not in time; all exit codes are still checked.

--- a/src/heatherpier/platform/tests/_soak.py
+++ b/src/heatherpier/platform/tests/_soak.py
@@ -29,6 +29,7 @@
 # Maximum time until the leases of proxies that don't answer have expired, a replica is
 # promoted, and back-offs have ended.
 RECOVERY_S = 25.0
+LISTENING_POLL_S = 0.05
 # Time between a proxy's start and the replacement of the next one.
 REPLACEMENT_PAUSE_S = 1.0
 
@@ -76,7 +77,7 @@
         with self._reserve_proxy() as proxy:
             if proxy is None:
                 return
-            was_listening = await self._is_listening(proxy)
+            was_listening = await is_listening(self._deployment, proxy)
             proxy.signal(number)
             code = await proxy.wait_until_ended()
             # A process that does not listen yet has no callers to wait for, and need
@@ -86,16 +87,6 @@
             await self._timers.sleep(duration_s / 2)
             await proxy.start()
 
-    async def _is_listening(self, proxy: ProxyProcess) -> bool:
-        try:
-            _, writer = await asyncio.open_connection(
-                proxy.host, self._deployment.callers_port
-            )
-        except OSError:
-            return False
-        writer.transport.abort()
-        return True
-
     async def _pause(self, duration_s: float) -> None:
         with self._reserve_proxy() as proxy:
             if proxy is None:
@@ -223,9 +214,23 @@
     deployment.store.faults.lose_answers = 0
 
 
+async def is_listening(deployment: Deployment, proxy: ProxyProcess) -> bool:
+    """Returns whether a proxy accepts callers."""
+    try:
+        _, writer = await asyncio.open_connection(proxy.host, deployment.callers_port)
+    except OSError:
+        return False
+    writer.transport.abort()
+    return True
+
+
 async def replace_each(deployment: Deployment) -> None:
     """Stops and starts all proxies, one after the other."""
     for proxy in deployment.proxies:
+        # A fault may have just started it; before it listens it need not exit cleanly.
+        async with asyncio.timeout(READY_TIMEOUT_S):
+            while not await is_listening(deployment, proxy):
+                await deployment.timers.sleep(LISTENING_POLL_S)
         proxy.signal(signal.SIGTERM)
         proxy.sigterm_exit_codes.append(await proxy.wait_until_ended())
         await proxy.start()
--- a/src/heatherpier/platform/tests/test_soak.py
+++ b/src/heatherpier/platform/tests/test_soak.py
@@ -36,7 +36,9 @@
 # the table anew. It is also tested in platform/tests/test_store.py.
 RESTORE_SEEDS = (201, 604, *range(int(FIRST) + 1, int(LAST) + 1))
 # Seeds of runs in which each proxy is replaced by the other build.
-UPGRADE_SEEDS = (801, *range(int(FIRST) + 1, int(LAST) + 1))
+# 1111: a proxy was replaced just after a fault had started it, and ended by SIGTERM before
+# it listened, which is no unclean exit.
+UPGRADE_SEEDS = (801, 1111, *range(int(FIRST) + 1, int(LAST) + 1))
 # Runs the build in production at each second start of a proxy; odd proxies begin with
 # it.
 ALTERNATE_BUILDS = """
