Draining: an instance that leaves gets no new work once it may end

Cause: a leaving instance was only ranked last, and offered for as long as its entry stood. While others were busy, lagged or were slow, reads, retries and hedges went on to it. No time was kept.

Change: the registry keeps since when an instance may have been leaving, counted from the moment as of which the list was complete without that. From drainMs less 1 s on it is not offered, and each sending is checked after all waits: attempts, the opening and the first statement of a transaction, and at homes of forwarded statements. Open transactions go on. A primary that leaves without a successor is refused at once with that reason. Ruled out: a limit that begins when the proxy hears of it (a partition may hold the answer up, tested) and one that asks the store (a call for each).

--- a/src/heatherpier/_instance_list.py
+++ b/src/heatherpier/_instance_list.py
@@ -88,7 +88,11 @@
             return
         self._note_readable(row.key)
         since_restore_s = self._timers.elapsed() - self._copy.epoch_since
-        self._registry.put(record, may_be_old=since_restore_s < REWRITE_S)
+        self._registry.put(
+            record,
+            may_be_old=since_restore_s < REWRITE_S,
+            list_age_s=self._copy.age_s(),
+        )
 
     def _leave_out(self, row: Row, reason: str) -> None:
         """Treats an entry that can't be read like a missing one.
--- a/src/heatherpier/_platform_proxy.py
+++ b/src/heatherpier/_platform_proxy.py
@@ -242,6 +242,7 @@
             rng=random.SystemRandom(),
             metrics=self._metrics.registry,
             quota_window=cfg.quota_window,
+            drain_s=cfg.drain_s,
             started_at=self._started_at,
         )
 
--- a/src/heatherpier/_proxy_engine.py
+++ b/src/heatherpier/_proxy_engine.py
@@ -97,6 +97,7 @@
         metrics: Registry of the engine's metrics.
         quota_window: Windows in which the rates of organisations are limited, or None
             if they are not.
+        drain_s: Time in seconds for which a leaving instance accepts new work.
         started_at: Time in seconds by `Timers.elapsed` at which the process was
             started; None for now.
 
@@ -117,6 +118,7 @@
         rng: random.Random,
         metrics: CollectorRegistry,
         quota_window: QuotaWindow | None = None,
+        drain_s: float = float("inf"),
         started_at: float | None = None,
     ) -> None:
         self._location = location
@@ -127,7 +129,7 @@
         self._routes = ActiveRoutes()
         self._known = asyncio.Event()
         self._stack = AsyncExitStack()
-        self._registry = InstanceRegistry(timers=timers)
+        self._registry = InstanceRegistry(timers=timers, drain_s=drain_s)
         self._health = InstanceHealth(timers=timers)
         self._configurations = TableCopy(layout.configuration, timers=timers)
         self._instances = TableCopy(layout.instances, timers=timers)
--- a/src/heatherpier/bench/_simulated_deployment.py
+++ b/src/heatherpier/bench/_simulated_deployment.py
@@ -76,6 +76,7 @@
         synchronous: Number of replicas that hold a commit when it is acknowledged, as
             configured.
         limits_rates: Whether the rates of organisations are limited.
+        drain_s: Time in seconds for which a leaving instance accepts new work.
 
     Attributes:
         timers: Timer service.
@@ -97,6 +98,7 @@
         connections: int = MAX_CONNECTIONS,
         synchronous: int = 0,
         limits_rates: bool = False,
+        drain_s: float = float("inf"),
     ) -> None:
         self.timers = timers
         self.rng = random.Random(seed)
@@ -116,6 +118,7 @@
         self._connections = connections
         self._synchronous = synchronous
         self._limits_rates = limits_rates
+        self._drain_s = drain_s
         self._exit_stacks: dict[str, AsyncExitStack] = {}
         self._routing_tables: dict[bytes, RoutingTable] = {}
         self._instance_records: dict[bytes, InstanceRecord] = {}
@@ -258,6 +261,7 @@
             rng=random.Random(self.rng.random()),
             metrics=CollectorRegistry(),
             quota_window=QuotaWindow() if self._limits_rates else None,
+            drain_s=self._drain_s,
             started_at=self.timers.elapsed() - started_ago_s,
         )
         stack = AsyncExitStack()
--- a/src/heatherpier/discovery/_registry.py
+++ b/src/heatherpier/discovery/_registry.py
@@ -10,6 +10,11 @@
 # A live instance whose entry expired during an outage of the store registers again
 # within about 2 s of the store's return.
 MISSING_GRACE_S = 2.5
+# A leaving instance gets no new work for this long before it may end: the work has to
+# reach it in time.
+DRAIN_MARGIN_S = 1.0
+# Time for which it is remembered since when a dropped instance has been leaving.
+LEAVING_RETENTION_S = 60.0
 
 
 class InstanceRegistry:
@@ -21,12 +26,18 @@
 
     Args:
         timers: Timer service.
+        drain_s: Time in seconds for which an instance still accepts new work after it
+            has said that it leaves; infinite if it is not known.
     """
 
-    def __init__(self, *, timers: Timers) -> None:
+    def __init__(self, *, timers: Timers, drain_s: float = float("inf")) -> None:
         self._timers = timers
+        self._new_work_s = drain_s - min(DRAIN_MARGIN_S, drain_s / 2)
         self._records: dict[str, InstanceRecord] = {}
         self._missing_since: dict[str, float] = {}
+        # Time by `Timers.elapsed` at which an instance was last known not to leave, with
+        # its start.
+        self._leaving_since: dict[str, tuple[int, float]] = {}
         self._listeners: list[Callable[[InstanceRecord | None, str], None]] = []
 
     def subscribe(self, listener: Callable[[InstanceRecord | None, str], None]) -> None:
@@ -55,11 +66,29 @@
         """Returns whether the instance is kept although its entry is missing."""
         return name in self._missing_since
 
-    def put(self, record: InstanceRecord, *, may_be_old: bool = False) -> None:
+    def accepts_new_work(self, name: str) -> bool:
+        """Returns whether an instance may be given work that is not bound to it.
+
+        One that leaves ends some time after it has said so, and the work with it.
+        """
+        leaving = self._leaving_since.get(name)
+        if leaving is None:
+            return True
+        return self._timers.elapsed() < leaving[1] + self._new_work_s
+
+    def put(
+        self,
+        record: InstanceRecord,
+        *,
+        may_be_old: bool = False,
+        list_age_s: float = 0.0,
+    ) -> None:
         """Adds a new record or replaces a changed one.
 
         Args:
             record: The record.
+            list_age_s: Age in seconds of the list in which the change was not seen yet;
+                infinite for the first list.
             may_be_old: Whether the record may be from before the known one, which it does
                 not replace then. Otherwise a lower sequence does not matter, as an entry
                 of another writer may have stated any.
@@ -78,6 +107,7 @@
             )
             return
         self._records[name] = record
+        self._note_leaving(record, list_age_s)
         if known is None or known.instance != record.instance:
             log.info(
                 "instance added or changed",
@@ -111,6 +141,25 @@
         for name, since in list(self._missing_since.items()):
             if now - since >= MISSING_GRACE_S:
                 self._drop(name)
+        oldest = self._timers.elapsed() - LEAVING_RETENTION_S
+        self._leaving_since = {
+            name: leaving
+            for name, leaving in self._leaving_since.items()
+            if name in self._records or leaving[1] >= oldest
+        }
+
+    def _note_leaving(self, record: InstanceRecord, list_age_s: float) -> None:
+        """Records since when an instance may have been leaving.
+
+        Its entry may have been missing for a while. It has not begun anew then.
+        """
+        if not record.instance.leaving:
+            self._leaving_since.pop(record.name, None)
+            return
+        started_ms, since = self._leaving_since.get(record.name, (None, 0.0))
+        if started_ms != record.started_ms:
+            since = self._timers.elapsed() - list_age_s
+            self._leaving_since[record.name] = (record.started_ms, since)
 
     def _drop(self, name: str) -> None:
         self._missing_since.pop(name, None)
--- a/src/heatherpier/forwarding/_server.py
+++ b/src/heatherpier/forwarding/_server.py
@@ -344,6 +344,7 @@
         try:
             # The state may have changed during the wait.
             lease = self._check_lease(req)
+            self._check_accepts_work(req)
             self._check_wanted(job)
         except _NotRunError:
             pool.release(conn, held_s=0.0)
@@ -369,8 +370,13 @@
                 f"the home knows {req.instance} as started at {record.started_ms},"
                 f" not at {req.started_ms}"
             )
+        self._check_accepts_work(req)
         return record
 
+    def _check_accepts_work(self, req: ForwardRequest) -> None:
+        if not self._registry.accepts_new_work(req.instance):
+            raise _refused(f"{req.instance} is leaving")
+
     def _check_lease(self, req: ForwardRequest) -> Lease | None:
         """Returns this proxy's lease on the instance; None if it is used as a replica.
 
--- a/src/heatherpier/forwarding/tests/test_failures.py
+++ b/src/heatherpier/forwarding/tests/test_failures.py
@@ -63,6 +63,40 @@
     assert clubs.primary.name in clubs.direct_connections(other)
 
 
+async def test_home_gives_a_leaving_instance_no_new_work(clubs, monkeypatch):
+    """Guards against forwarded statements that end with an instance that leaves."""
+    home, other = clubs.homes()
+    session = clubs.session()
+    for text in ("BEGIN", "WRITE b"):
+        await ask(session, text)
+    # The sender does not know it yet, as one of an older build.
+    registry = clubs.engines[home].context.registry
+    monkeypatch.setattr(registry, "accepts_new_work", lambda name: False)
+    assert isinstance(await clubs.write(), Done)
+    assert clubs.primary.name in clubs.direct_connections(other)
+    assert isinstance((await ask(session, "COMMIT")).outcome, Done)
+
+
+async def test_home_gives_a_leaving_instance_no_work_that_has_waited(
+    clubs, timers, monkeypatch
+):
+    """Guards against a statement that is sent after its wait for a connection."""
+    home = clubs.homes()[0]
+    server = clubs.server(home)
+    wait = server._wait_for_connection
+
+    async def wait_long(pool, job):
+        conn = await wait(pool, job)
+        registry = clubs.engines[home].context.registry
+        monkeypatch.setattr(registry, "accepts_new_work", lambda name: False)
+        return conn
+
+    monkeypatch.setattr(server, "_wait_for_connection", wait_long)
+    assert isinstance(await clubs.write(), Done)
+    assert clubs.primary.name in clubs.direct_connections(clubs.homes()[1])
+    assert len(clubs.ran("WRITE a")) == 1
+
+
 async def test_restart_of_the_sender_ends_its_transactions(clubs, timers):
     session = clubs.session()
     for text in ("BEGIN", "WRITE a"):
--- a/src/heatherpier/platform/_settings.py
+++ b/src/heatherpier/platform/_settings.py
@@ -10,6 +10,7 @@
 from heatherpier.platform._instances import split_address
 from heatherpier.quotas import QuotaWindow
 
+MS_PER_S = 1000
 # Contract under which callers are identified by their keys.
 IDENTITIES_CONTRACT = "tenants"
 
@@ -32,6 +33,8 @@
 class _Bounds(msgspec.Struct, kw_only=True, rename="camel"):
     # Time from SIGTERM to SIGKILL, in seconds.
     grace_s: float = 6
+    # Time for which a leaving instance accepts work, in milliseconds; 0 if unknown.
+    drain_ms: float = 0
     # Length of the windows in which the operations of a tenant are counted, in seconds;
     # 0 if they are not limited.
     quota_window_s: float = 0
@@ -86,6 +89,8 @@
         promotions: Address at which promotions are requested, as ``IP:port``.
         seeds: Hosts of other proxies, which may be out of date.
         grace_s: Time from SIGTERM to SIGKILL, in seconds.
+        drain_s: Time in seconds for which an instance still accepts new work after it
+            has said that it leaves; infinite if it is not known.
         identifies_callers: Whether callers need a key.
         quota_window: Windows in which the operations of an organisation are limited,
             or None if they are not.
@@ -104,6 +109,7 @@
     promotions: str
     seeds: tuple[str, ...]
     grace_s: float
+    drain_s: float = float("inf")
     identifies_callers: bool = False
     quota_window: QuotaWindow | None = None
     capacity: float = 1.0
@@ -152,6 +158,7 @@
         promotions=raw.cloud_api.address,
         seeds=seeds,
         grace_s=raw.bounds.grace_s,
+        drain_s=raw.bounds.drain_ms / MS_PER_S or float("inf"),
         identifies_callers=IDENTITIES_CONTRACT in raw.contracts,
         quota_window=_quota_window(raw.bounds),
         capacity=raw.limits.cores * raw.limits.cpu_share,
--- a/src/heatherpier/serving/_attempts.py
+++ b/src/heatherpier/serving/_attempts.py
@@ -330,6 +330,8 @@
         sent_at = timers.now()
         if not self._may_send(target, in_transaction=in_transaction):
             return NotSent(reason=f"the lease on {target.name} as primary has ended")
+        if not in_transaction and not self.accepts_new_work(target):
+            return NotSent(reason=f"{target.name} is leaving")
         if until - sent_at < MIN_EXECUTION_S:
             return NotSent(reason=f"less than {MIN_EXECUTION_S} s left for an answer")
         taken_at = timers.elapsed()
@@ -363,6 +365,10 @@
             )
         return reply
 
+    def accepts_new_work(self, target: Target) -> bool:
+        """Returns whether the target may be given work that is not bound to it."""
+        return self._context.registry.accepts_new_work(target.name)
+
     def _may_send(self, target: Target, *, in_transaction: bool) -> bool:
         """Returns whether the lease on the target still permits a statement.
 
--- a/src/heatherpier/serving/_replica_selector.py
+++ b/src/heatherpier/serving/_replica_selector.py
@@ -23,7 +23,7 @@
 PRIMARY_COST_S = 0.005
 # Cost of an instance that fails or is no longer listed; it ranks after healthy ones.
 BACKOFF_COST_S = 10.0
-# Cost of an instance that is leaving; it ranks after all others.
+# Cost of an instance that is leaving but still accepts work; it ranks after all others.
 LEAVING_COST_S = 100.0
 # The estimate of a replica's lag halves in this time, so that a replica that has caught
 # up gets reads again.
@@ -127,7 +127,10 @@
         offered = [
             record
             for record in self._registry.of_service(service)
-            if record.name == primary or self._should_offer(record.name, min_position)
+            if self._registry.accepts_new_work(record.name)
+            and (
+                record.name == primary or self._should_offer(record.name, min_position)
+            )
         ]
         if not self._balancer.active:
             return self._by_cost(offered, primary)
--- a/src/heatherpier/serving/_runner.py
+++ b/src/heatherpier/serving/_runner.py
@@ -163,6 +163,8 @@
         """
         if isinstance(lease, NoLease):
             return lease.changing, lease.reason
+        if not self._context.registry.accepts_new_work(lease.instance):
+            return False, f"{lease.instance} is leaving and has no successor"
         if self._context.health.in_backoff(lease.instance):
             return True, f"{lease.instance} does not answer"
         return None, ""
--- a/src/heatherpier/serving/_transaction.py
+++ b/src/heatherpier/serving/_transaction.py
@@ -168,6 +168,9 @@
             if isinstance(opened, AnswerLost):
                 return NotSent(reason=opened.reason)
             return opened
+        if not self._runner.attempts.accepts_new_work(target):
+            # The opening took until the instance may end.
+            return NotSent(reason=f"{target.name} is leaving")
         return await self._runner.attempts.send_next(conn, target, statement)
 
     def _final_first_answer(
