Change of primary: a refused connection does not show that a proxy has ended

What callers could see: a proxy behind a partition that refuses connections goes on writing to the old primary under its lease, after another instance was promoted; a change could be taken over from a coordinator that may still request a promotion. Only suspected by the review; no case showed it.

Cause: a peer that did not answer was asked for a connection, and a refused one counted as the end of its process, which spared the wait for its lease.

Change: a member counts once it has answered; the next incarnation of an ended process answers for it. Without an answer a change waits for the leases. A coordinator whose connections are refused is lost, not stopped: its change is taken over at once, after the wait that covers its last request.

--- a/src/heatherpier/leases/_coordinators.py
+++ b/src/heatherpier/leases/_coordinators.py
@@ -16,10 +16,11 @@
 
     # It carries out the change, or that is not known: it may be cut off.
     POSSIBLY_ACTIVE = enum.auto()
-    # It was removed from the fleet. If it is only cut off, it may still be active until
-    # its view is too old (`COORDINATOR_MAX_STALENESS_S`).
-    REMOVED = enum.auto()
-    # Its process has ended, or it says that it does not carry out the change.
+    # It was removed from the fleet, or its address refuses connections. If it is only cut
+    # off, it may still be active until its view is too old
+    # (`COORDINATOR_MAX_STALENESS_S`).
+    LOST = enum.auto()
+    # It says that it does not carry out the change.
     STOPPED = enum.auto()
 
 
@@ -54,24 +55,27 @@
             return _state(stopped=stopped)
         record = self._view.members.get(coordinator)
         if record is None:
-            return CoordinatorState.REMOVED
+            return CoordinatorState.LOST
         try:
             answer = await self._network.request(
                 record.peer, ChangeRequest(service=service), timeout_s=REQUEST_TIMEOUT_S
             )
         except PeerUnreachableError as exc:
-            # If the process has ended, its VM still refuses the connection.
-            ended = await self._network.refuses(
+            # The VM of a process that has ended refuses connections, but so may a
+            # partition.
+            refused = await self._network.refuses(
                 record.peer, timeout_s=REQUEST_TIMEOUT_S
             )
             log.info(
                 "coordinator of a change does not answer",
                 service=service,
                 holder=coordinator,
-                ended=ended,
+                refused=refused,
                 reason=str(exc),
             )
-            return _state(stopped=ended)
+            return (
+                CoordinatorState.LOST if refused else CoordinatorState.POSSIBLY_ACTIVE
+            )
         stopped = isinstance(answer, ChangeAnswer) and not answer.at_work
         return _state(stopped=stopped)
 
--- a/src/heatherpier/leases/_fence.py
+++ b/src/heatherpier/leases/_fence.py
@@ -23,7 +23,7 @@
 from heatherpier.leases._peers import PeerLinks
 from heatherpier.leases._primary_leases import LEASE_S
 from heatherpier.leases._records import UNKNOWN_TERM, LeadershipRecord
-from heatherpier.leases._releases import LeaseReleases, ReleaseResult
+from heatherpier.leases._releases import LeaseReleases
 from heatherpier.leases._view import FleetView
 from heatherpier.tables import ChangeConflictError
 from heatherpier.telemetry import get_logger
@@ -120,7 +120,7 @@
 
         Each of two conditions is enough:
 
-        - Every member has released the old primary, or its process has ended.
+        - Every member has released the old primary.
         - All leases on the old primary have expired.
 
         Unless the change is planned or the old primary serves again, it is demoted
@@ -172,11 +172,10 @@
         return self._answered if self._is_kept else None
 
     async def _wait_for_releases(self) -> None:
-        """Returns when all members have released the old primary or have ended.
+        """Returns when all members have released the old primary.
 
-        A process that has ended uses nothing, but its next incarnation may give grants
-        to a proxy that has not heard of the change. So an ended process counts only
-        once enough voters have released that no proxy can reach a grant quorum.
+        The next incarnation of a process that has ended answers for it: it listens at
+        the same address, and uses nothing that the earlier one did.
         """
         change = self._change
         drain_s = PLANNED_DRAIN_S if change.planned else LOST_DRAIN_S
@@ -219,15 +218,12 @@
     async def _release_at(self, peer: Peer, drain_s: float) -> None:
         service = self._change.service
         while True:
-            result = await self._releases.release_at(
+            if await self._releases.release_at(
                 peer, service, self._record, drain_s=drain_s
-            )
-            if result is ReleaseResult.RELEASED:
+            ):
                 self._released.add(peer.name)
                 self._released_peers.add(peer)
                 return
-            if result is ReleaseResult.ENDED and self._has_release_quorum():
-                return
             await self._timers.sleep(RETRY_PAUSE_S)
 
     async def _demote_unless_planned(self, term: int) -> None:
--- a/src/heatherpier/leases/_releases.py
+++ b/src/heatherpier/leases/_releases.py
@@ -1,12 +1,9 @@
 """Releases of leases on a primary that is being replaced, here and at peers."""
 
-import enum
-
 from heatherpier.fleet import Message, Peer, PeerNetwork, PeerUnreachableError
 from heatherpier.leases._grants import GRANT_S, Grants
 from heatherpier.leases._in_flight import InFlightWork
 from heatherpier.leases._messages import Released, ReleaseRequest
-from heatherpier.leases._peers import REQUEST_TIMEOUT_S
 from heatherpier.leases._primary_leases import PrimaryLeases
 from heatherpier.leases._records import LeadershipRecord, encode_leadership
 from heatherpier.leases._view import LEADER_PREFIX, FleetView
@@ -19,18 +16,6 @@
 RELEASE_MARGIN_S = 0.3
 
 
-class ReleaseResult(enum.Enum):
-    """Outcome of asking a peer to release its lease on a primary."""
-
-    # The peer uses the primary no more, and its grants have expired.
-    RELEASED = enum.auto()
-    # The peer's process has ended, so it uses no primary. Its next incarnation may give
-    # grants to proxies that have not heard of the change.
-    ENDED = enum.auto()
-    # The peer may still use the primary.
-    UNKNOWN = enum.auto()
-
-
 class LeaseReleases:
     """Releases this proxy's leases on old primaries, and asks peers to release theirs.
 
@@ -86,8 +71,12 @@
 
     async def release_at(
         self, peer: Peer, service: str, record: LeadershipRecord, *, drain_s: float
-    ) -> ReleaseResult:
-        """Asks a peer to release its lease on a primary, and returns the outcome.
+    ) -> bool:
+        """Asks a peer to release its lease on a primary; returns whether it has.
+
+        It then uses the primary no more, and its grants have expired. Without an answer
+        that is not known: a refused connection does not show that the process has ended,
+        as a partition may refuse connections too.
 
         Args:
             peer: The peer.
@@ -106,19 +95,17 @@
                 peer, req, timeout_s=drain_s + GRANT_S + RELEASE_MARGIN_S
             )
         except PeerUnreachableError as exc:
-            ended = await self._network.refuses(peer, timeout_s=REQUEST_TIMEOUT_S)
             log.info(
                 "peer did not release",
                 service=service,
                 peer=peer.name,
-                ended=ended,
                 reason=str(exc),
             )
-            return ReleaseResult.ENDED if ended else ReleaseResult.UNKNOWN
+            return False
         if not isinstance(answer, Released):
-            return ReleaseResult.UNKNOWN
+            return False
         self._view.history.extend_from_peer(answer.past)
-        return ReleaseResult.RELEASED
+        return True
 
     async def _on_release(self, sender: str, req: ReleaseRequest) -> Message | None:
         self._view.copy.apply_row(
--- a/src/heatherpier/leases/tests/_model.py
+++ b/src/heatherpier/leases/tests/_model.py
@@ -41,6 +41,8 @@
             the earlier one may have given just before it ended.
         ended_counts_as_released: Whether a member whose process ended counts as one
             that released the old primary.
+        refused_counts_as_ended: Whether a member that does not answer counts as ended
+            once a quorum has released. Its connections may be refused by a partition.
         waits_for_lease_expiry: Whether a change without all releases waits until the
             leases by the age of the view have expired.
         waits_for_removed_members: Whether a change waits until the lease of a removed
@@ -54,6 +56,7 @@
     later_incarnation_needs_new_view: bool = True
     later_incarnation_keeps_grants: bool = True
     ended_counts_as_released: bool = False
+    refused_counts_as_ended: bool = False
     waits_for_lease_expiry: bool = True
     waits_for_removed_members: bool = True
     removals_leave_half: bool = True
@@ -139,6 +142,8 @@
     has_quorum = released >= RELEASE_QUORUM
     if all(is_settled(item, state.tick, rules) for item in members):
         return True
+    if has_quorum and rules.refused_counts_as_ended:
+        return True
     if state.tick < LEASE and rules.waits_for_lease_expiry:
         return False
     return has_quorum or state.tick >= MAX_STALENESS + GRANT
--- a/src/heatherpier/leases/tests/test_model.py
+++ b/src/heatherpier/leases/tests/test_model.py
@@ -23,6 +23,7 @@
         Rules(later_incarnation_needs_new_view=False),
         Rules(later_incarnation_keeps_grants=False),
         Rules(ended_counts_as_released=True),
+        Rules(refused_counts_as_ended=True),
         Rules(waits_for_lease_expiry=False),
         Rules(waits_for_removed_members=False),
         Rules(removals_leave_half=False),
--- a/src/heatherpier/leases/tests/test_restores.py
+++ b/src/heatherpier/leases/tests/test_restores.py
@@ -20,7 +20,6 @@
     encode_member,
 )
 from heatherpier.leases._grants import GRANT_MAX_STALENESS_S, GRANT_S
-from heatherpier.leases._releases import ReleaseResult
 from heatherpier.statements import Done
 from heatherpier.tables import Changes, Row, TableCopy, epoch_of, make_version
 from heatherpier.upstreams import Instance
@@ -214,7 +213,7 @@
         record,
         drain_s=0.0,
     )
-    assert result is ReleaseResult.UNKNOWN
+    assert result is False
     assert leases(old_deployment)["proxy-1"] == held
 
 
