Start: SIGHUP during the imports does not end the process

Cause: the handler was installed with the event loop, after the imports. Change: the program of the deploy file notes the signal before them, and the proxy reads its settings again when it handles SIGHUP itself. The start of the interpreter is left, before any code of ours runs.

--- a/deploy/serve.py
+++ b/deploy/serve.py
@@ -6,10 +6,15 @@
 
 import gc
 import os
+import signal
 import sys
 import time
 from pathlib import Path
 
+# SIGHUP ends a process that doesn't handle it. One that comes during the imports is
+# handled when they are done.
+early_hang_ups: list[int] = []
+signal.signal(signal.SIGHUP, lambda number, _: early_hang_ups.append(number))
 # The imports take longer than the rest of the start.
 started_at = time.clock_gettime(time.CLOCK_BOOTTIME)
 # No connection of the proxy uses TLS, but a library reads the system's certificates
@@ -23,4 +28,4 @@
 
 gc.freeze()
 gc.enable()
-main(started_at=started_at)
+main(started_at=started_at, early_hang_ups=early_hang_ups)
--- a/src/heatherpier/_platform_proxy.py
+++ b/src/heatherpier/_platform_proxy.py
@@ -8,7 +8,7 @@
 import asyncio
 import random
 import signal
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from contextlib import AsyncExitStack
 from dataclasses import fields
 from functools import partial
@@ -128,6 +128,7 @@
         log_handler: Log handler whose level the admin endpoint may change, or None.
         started_at: Time in seconds by `Timers.elapsed` at which the process was
             started, before its imports; None for now.
+        early_hang_ups: Each SIGHUP up to the time when `run` handles them.
     """
 
     def __init__(
@@ -138,7 +139,9 @@
         output: BoundedOutput | None = None,
         log_handler: JsonHandler | None = None,
         started_at: float | None = None,
+        early_hang_ups: Sequence[int] = (),
     ) -> None:
+        self._early_hang_ups = early_hang_ups
         self._cfg = cfg
         self._read_settings = reload
         self._output = output
@@ -176,6 +179,9 @@
         for signum in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signum, stop.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
+        if self._early_hang_ups:
+            # The settings may have been read before.
+            self._reload()
         cfg = self._cfg
         log.info("started", version=__version__, data_centre=cfg.data_centre)
         async with AsyncExitStack() as stack:
--- a/src/heatherpier/platform/tests/test_whole_proxy.py
+++ b/src/heatherpier/platform/tests/test_whole_proxy.py
@@ -6,6 +6,7 @@
 import re
 import signal
 import sys
+from pathlib import Path
 
 import aiohttp
 import pytest
@@ -17,6 +18,7 @@
 from heatherpier.timers import LoopTimers
 
 TIMEOUT_S = 20
+ROOT = Path(__file__).parents[4]
 
 
 async def serve_instance(reader, writer, texts):
@@ -176,6 +178,47 @@
     assert b"settings not reloaded" in out
 
 
+# Runs the program of the deploy file, and has the process receive SIGHUP at the import of
+# the module that is named.
+HUNG_UP_PROGRAM = """
+import os, runpy, signal, sys
+
+class HangUp:
+    def find_spec(self, name, *_):
+        if name == sys.argv[2]:
+            os.kill(os.getpid(), signal.SIGHUP)
+
+sys.meta_path.insert(0, HangUp())
+os.environ["HEATHERPIER_SETTINGS"] = sys.argv[1]
+runpy.run_path("deploy/serve.py")
+"""
+
+
+@pytest.mark.parametrize(
+    "module", ["heatherpier._serve", "heatherpier._platform_proxy", "zmq"]
+)
+async def test_a_hang_up_during_the_start_does_not_end_the_process(deployment, module):
+    # Guards against a process that ends by itself when its settings change early.
+    _, ready_port, _, settings, _ = deployment
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-c",
+        HUNG_UP_PROGRAM,
+        str(settings),
+        module,
+        stdout=asyncio.subprocess.PIPE,
+        cwd=ROOT,
+    )
+    try:
+        await wait_until_ready(ready_port)
+    finally:
+        if process.returncode is None:
+            process.send_signal(signal.SIGTERM)
+    out, _ = await asyncio.wait_for(process.communicate(), TIMEOUT_S)
+    assert process.returncode == 0
+    assert b"settings reloaded" in out
+
+
 async def test_a_stop_does_not_wait_for_idle_callers(deployment, proxy):
     callers_port = deployment[0]
     streams = await asyncio.open_connection(HOST, callers_port)
