MySQL border: version_compile_machine is that of the present machine

Cause: a constant, true on x86-64 only. Change: the machine is asked. Measured: the new test passes here (x86-64), and compares with what the system says on any machine.

--- a/src/heatherpier/callers/_variables.py
+++ b/src/heatherpier/callers/_variables.py
@@ -1,5 +1,7 @@
 """System variables that the proxy reports and the values that it accepts for them."""
 
+import os
+
 from heatherpier import __version__
 
 SQL_MODE = (
@@ -41,7 +43,7 @@
     "tx_read_only": "0",
     "version": "8.0.29",
     "version_comment": f"heatherpier {__version__}",
-    "version_compile_machine": "x86_64",
+    "version_compile_machine": os.uname().machine,
     "version_compile_os": "Linux",
     "wait_timeout": "28800",
 }
