--- a/Makefile
+++ b/Makefile
@@ -4,10 +4,13 @@
 
 .PHONY: venv check test soak demo lint binary
 
-venv: $(VENV)/.installed
+# The mark names the kind of machine, as the folder may come from another one.
+INSTALLED := $(VENV)/.installed-$(shell uname -m)
 
-$(VENV)/.installed: requirements.txt requirements-dev.txt pyproject.toml
-	$(PYTHON) -m venv $(VENV)
+venv: $(INSTALLED)
+
+$(INSTALLED): requirements.txt requirements-dev.txt pyproject.toml
+	$(PYTHON) -m venv --clear $(VENV)
 	$(BIN)/pip install -q -r requirements-dev.txt
 	$(BIN)/pip install -q --no-deps -e .
 	touch $@
