Change of primary: members that registered just before it are waited for

Cause: a coordinator asks the members in its view once it has written the row of the change. Its watch of the fleet's table pauses for up to 0.4 s between two calls, so its view may lack members, and voter sets, from before its own row. They hold leases on views without the change.

Change: after its write the coordinator reads what its view lacks, and the fence goes on only once the view has all rows up to that of the change. Then it asks the others too, and counts voter sets with them. Why it works: a lease needs a view with the holder's own row, and one that lacks the change was complete before it, so the holder's row is among those that the coordinator has now.

--- a/src/heatherpier/leases/_fence.py
+++ b/src/heatherpier/leases/_fence.py
@@ -39,6 +39,7 @@
 # Pause before a peer or an instance is asked again: a network partition may heal
 # before the leases expire.
 RETRY_PAUSE_S = 0.2
+COVERAGE_POLL_S = 0.02
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -180,8 +181,9 @@
         change = self._change
         drain_s = PLANNED_DRAIN_S if change.planned else LOST_DRAIN_S
         local = self._releases.release_here(change.service, drain_s=drain_s)
-        remote = [self._release_at(peer, drain_s) for peer in self._links.others()]
-        await asyncio.gather(local, *remote)
+        known = self._links.others()
+        remote = [self._release_at(peer, drain_s) for peer in known]
+        await asyncio.gather(local, *remote, self._release_at_others(known, drain_s))
         # A member that was removed recently is not among the peers asked above. The
         # view on which its lease rests is older than its removal, so the lease expires
         # within `LEASE_S` of the removal. Grants to it by the peers that released had
@@ -215,6 +217,20 @@
             f"version {self._view.leadership_version(service)}"
         )
 
+    async def _release_at_others(self, known: list[Peer], drain_s: float) -> None:
+        """Has members release that registered before the change, but were not known.
+
+        Their views may lack the change, since they were complete before it.
+        """
+        while not self._covers_change():
+            await self._timers.sleep(COVERAGE_POLL_S)
+        others = [peer for peer in self._links.others() if peer not in known]
+        await asyncio.gather(*(self._release_at(peer, drain_s) for peer in others))
+
+    def _covers_change(self) -> bool:
+        """Returns whether the view has all rows from before that of the change."""
+        return self._view.copy.version >= self._record.version
+
     async def _release_at(self, peer: Peer, drain_s: float) -> None:
         service = self._change.service
         while True:
@@ -297,6 +313,9 @@
     def _has_release_quorum(self) -> bool:
         """Returns whether too few voters are left to grant any proxy a lease.
 
+        Voter sets that this proxy has not seen yet may have been current before the
+        change. So the view has to have all rows from before it.
+
         A proxy that relies on grants counts them in the voter set that it knows, which
         may be an earlier one. So a quorum must have released in each voter set that was
         current since the oldest copy on which a grant may still rest.
@@ -304,7 +323,7 @@
         voter_sets = self._view.history.voter_sets_since(
             self._timers.elapsed() - GRANT_MAX_STALENESS_S - GRANT_S
         )
-        if voter_sets is None:
+        if voter_sets is None or not self._covers_change():
             return False
         released = self._released | {self._links.me}
         return all(
--- a/src/heatherpier/leases/_leadership_rows.py
+++ b/src/heatherpier/leases/_leadership_rows.py
@@ -26,6 +26,8 @@
 MAX_WRITING_PEERS = 3
 PEER_WRITE_TIMEOUT_S = 0.3
 POLL_PERIOD_S = 0.03
+# Time for the rows from before a written one; without them a change waits for the watch.
+CATCH_UP_TIMEOUT_S = 0.3
 
 
 class ChangeFailedError(Exception):
@@ -96,8 +98,28 @@
                 f"{key}: the store was restored before the write, version {version}"
             )
         self._view.copy.apply_row(Row(key=key, version=version, body=body))
+        await self._catch_up()
         return record
 
+    async def _catch_up(self) -> None:
+        """Reads the rows from before a written one that the view lacks.
+
+        The view's own watch may pause before it asks for them.
+        """
+        copy = self._view.copy
+        try:
+            async with self._timers.timeout(CATCH_UP_TIMEOUT_S):
+                copy.apply(
+                    await self._store.watch(copy.table, after=copy.version, wait_s=0.0)
+                )
+        except (StoreError, TimeoutError) as exc:
+            # The watch brings them, or reads the whole table.
+            log.info(
+                "view of the fleet not completed",
+                version=copy.version,
+                reason=f"{type(exc).__name__}: {exc}",
+            )
+
     async def _write_by_peers(self, service: str, body: bytes, *, expected: int) -> int:
         """Has one of the other voters write a row; returns its version, or 0."""
         req = WriteRequest(service=service, body=body, expected=expected)
--- a/src/heatherpier/leases/tests/_model.py
+++ b/src/heatherpier/leases/tests/_model.py
@@ -8,7 +8,8 @@
 grants, releases, ends and starts of the two processes.
 
 A member may have been removed just before the change, so that the coordinator does not ask
-it, or may have been removed and have registered again.
+it, may have been removed and have registered again, or may have registered so shortly
+before that the coordinator's view lacks it.
 """
 
 from collections import deque
@@ -49,6 +50,9 @@
             member has expired.
         removals_leave_half: Whether a member is removed only if half of the voters
             remain, counted in the voter set on which grants may still rest.
+        view_covers_change: Whether the coordinator goes on only once its view has all
+            rows from before that of the change, so that it asks a member which had
+            registered unseen.
         returned_members_have_to_release: Whether a member that has registered again
             is waited for until it has released.
     """
@@ -60,6 +64,7 @@
     waits_for_lease_expiry: bool = True
     waits_for_removed_members: bool = True
     removals_leave_half: bool = True
+    view_covers_change: bool = True
     returned_members_have_to_release: bool = True
 
 
@@ -69,6 +74,7 @@
     KEPT = auto()
     REMOVED = auto()
     RETURNED = auto()
+    UNSEEN = auto()
 
 
 @dataclass(frozen=True, slots=True, order=True)
@@ -158,6 +164,8 @@
             return not rules.waits_for_removed_members or tick >= REMOVED_AT + LEASE
         case Registration.RETURNED:
             return not rules.returned_members_have_to_release
+        case Registration.UNSEEN:
+            return not rules.view_covers_change
     return False
 
 
--- a/src/heatherpier/leases/tests/test_model.py
+++ b/src/heatherpier/leases/tests/test_model.py
@@ -28,6 +28,7 @@
         Rules(waits_for_removed_members=False),
         Rules(removals_leave_half=False),
         Rules(returned_members_have_to_release=False),
+        Rules(view_covers_change=False),
     ],
     ids=str,
 )
