Soak: instances lost for good and from the store alone, all proxies down, refused connections

Change: a form of run in which instances are lost for good down to one, entries lapse, instances crash together, all proxies are killed while an instance is lost, and odd entries stand, in series that overlap. Relays between proxies can refuse connections; the check of a refused peer goes through them. Callers go on for 2 s after the faults.

--- a/src/heatherpier/platform/tests/_deployment.py
+++ b/src/heatherpier/platform/tests/_deployment.py
@@ -102,6 +102,7 @@
         proxies: All proxies, also those that have ended.
         relays: Relays of the connections between proxies.
         callers_port: Port for callers, on the address of each proxy.
+        lost: Names of the instances that are lost for good.
     """
 
     def __init__(
@@ -110,6 +111,7 @@
         self.timers = LoopTimers()
         self.store = MemoryRowStore(timers=self.timers)
         self.group = SimulatedGroup(SERVICE, zones=list(ZONES), timers=self.timers)
+        self.lost: set[str] = set()
         self._folder = folder
         self._store_server = StoreServer(self.store, {SERVICE: self.group})
         self._instance_servers: dict[str, tuple[InstanceServer, int]] = {}
@@ -162,6 +164,17 @@
         row = instance_row(instance, service=SERVICE, port=port)
         self.store.write("servers", instance.name, row)
 
+    def unregister(self, instance: SimulatedInstance) -> None:
+        """Removes the entry of an instance from the store."""
+        self.store.write("servers", instance.name, None)
+
+    def lose(self, instance: SimulatedInstance) -> None:
+        """Loses an instance for good."""
+        self.lost.add(instance.name)
+        instance.running = False
+        self.unregister(instance)
+        self.reset(instance)
+
     def reset(self, instance: SimulatedInstance) -> None:
         """Resets all connections of an instance."""
         self._instance_servers[instance.name][0].reset()
--- a/src/heatherpier/platform/tests/_peer_relays.py
+++ b/src/heatherpier/platform/tests/_peer_relays.py
@@ -1,16 +1,16 @@
 """Relays between real proxies, whose connections faults delay, cut, silence or reset.
 
 Each proxy reaches each other one through a relay of its own, so that a fault can hit
-one direction only. `redirect_peers` makes a proxy's process use them. Only the check
-whether a peer's process has ended (`ZmqPeers.refuses`) goes straight to the peer, since
-a relay can't pass on a refused connection.
+one direction only. `redirect_peers` makes a proxy's process use them. A relay accepts
+connections also while the process behind it does not run, so the check whether a peer
+refuses connections (`ZmqPeers.refuses`) asks the peer as well.
 """
 
 import asyncio
 import contextlib
 import dataclasses
 import json
-from collections.abc import Iterator
+from collections.abc import AsyncIterator, Iterator
 from pathlib import Path
 from typing import Any, ClassVar
 from unittest import mock
@@ -47,13 +47,30 @@
         self._target = host, port
         self._timers = timers
         self._server: asyncio.Server | None = None
+        self._refusals = 0
+        # Any free port at the first start, then the same one.
+        self._port = 0
         self._connections: set[_RelayedConnection] = set()
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def start(self) -> int:
         """Listens on a free port and returns the port."""
-        self._server = await asyncio.start_server(self._accept, HOST, 0)
-        return self._server.sockets[0].getsockname()[1]
+        self._server = await asyncio.start_server(self._accept, HOST, self._port)
+        self._port = self._server.sockets[0].getsockname()[1]
+        return self._port
+
+    def refuse(self) -> None:
+        """Resets all connections and refuses new ones until `accept` is called."""
+        assert self._server is not None
+        self._refusals += 1
+        self._server.close()
+        self.reset()
+
+    async def accept(self) -> None:
+        """Ends one `refuse`; with the last one, new connections are accepted again."""
+        self._refusals -= 1
+        if not self._refusals:
+            await self.start()
 
     async def close(self) -> None:
         """Stops listening and resets all connections."""
@@ -172,10 +189,25 @@
         """Returns all relays."""
         return list(self._relays.values())
 
+    def _around(self, name: str) -> list[PeerRelay]:
+        return [relay for pair, relay in self._relays.items() if name in pair]
+
+    @contextlib.asynccontextmanager
+    async def refusing(self, name: str) -> AsyncIterator[None]:
+        """Refuses all connections between one proxy and the others."""
+        relays = self._around(name)
+        for relay in relays:
+            relay.refuse()
+        try:
+            yield
+        finally:
+            for relay in relays:
+                await relay.accept()
+
     @contextlib.contextmanager
     def isolated(self, name: str) -> Iterator[None]:
         """Cuts all connections between one proxy and the others."""
-        relays = [relay for pair, relay in self._relays.items() if name in pair]
+        relays = self._around(name)
         for relay in relays:
             relay.cut = relay.answers_cut = True
         try:
@@ -193,8 +225,17 @@
     relay_ports: ClassVar[dict[str, int]] = {}
 
     def _connect(self, peer: Peer) -> Any:
+        return super()._connect(self._behind_relay(peer))
+
+    async def refuses(self, peer: Peer, *, timeout_s: float) -> bool:
+        relayed = self._behind_relay(peer)
+        return await super().refuses(
+            relayed, timeout_s=timeout_s
+        ) or await super().refuses(peer, timeout_s=timeout_s)
+
+    def _behind_relay(self, peer: Peer) -> Peer:
         port = self.relay_ports[peer.host]
-        return super()._connect(dataclasses.replace(peer, host=HOST, port=port))
+        return dataclasses.replace(peer, host=HOST, port=port)
 
 
 def redirect_peers(settings: str) -> None:
--- a/src/heatherpier/platform/tests/_soak.py
+++ b/src/heatherpier/platform/tests/_soak.py
@@ -14,6 +14,7 @@
     Deployment,
     ProxyProcess,
 )
+from heatherpier.platform.tests._loss_faults import LossFaults
 from heatherpier.platform.tests._peer_relays import PeerRelay
 
 READY_TIMEOUT_S = 20.0
@@ -30,6 +31,9 @@
 # promoted, and back-offs have ended.
 RECOVERY_S = 25.0
 LISTENING_POLL_S = 0.05
+LOSS_DETECTION_S = 0.6
+# Time for which callers go on after the faults.
+LOAD_AFTER_S = 2.0
 # Time between a proxy's start and the replacement of the next one.
 REPLACEMENT_PAUSE_S = 1.0
 
@@ -122,6 +126,7 @@
             self._reset,
             self._silence,
             self.drain_behind_isolated_proxy,
+            self.lose_primary_but_for_refusing_proxy,
         ]
 
     def _draw_relay(self) -> PeerRelay:
@@ -158,6 +163,29 @@
             await self._faults.drain_primary(duration_s)
         store_faults.unresponsive_to.discard(name)
 
+    async def lose_primary_but_for_refusing_proxy(self, duration_s: float) -> None:
+        """Leaves the primary reachable only by one proxy, which refuses connections.
+
+        That proxy does not reach the store either.
+        """
+        proxies = self._deployment.proxies
+        name = self._rng.choice(proxies).name
+        others = {proxy.name for proxy in proxies} - {name}
+        store_faults = self._deployment.store.faults
+        leading = [
+            item for item in self._deployment.group.instances.values() if item.leads
+        ]
+        for item in leading:
+            item.cut_from |= others
+        # The others need a moment to find that the primary is lost.
+        await self._timers.sleep(LOSS_DETECTION_S)
+        store_faults.unresponsive_to.add(name)
+        async with self._relays.refusing(name):
+            await self._timers.sleep(duration_s)
+        store_faults.unresponsive_to.discard(name)
+        for item in leading:
+            item.cut_from -= others
+
 
 async def inject_faults(
     deployment: Deployment,
@@ -166,11 +194,15 @@
     duration_s: float,
     drains_only: bool,
     isolations_only: bool,
+    losses_only: bool,
     restores: bool,
     lost_answers: bool,
 ) -> None:
     """Injects random faults that may overlap, and ends them all."""
     rng = random.Random(seed)
+    if losses_only:
+        await LossFaults(deployment, rng=rng).inject(duration_s)
+        return
     faults = FaultInjector(
         deployment.group,
         store=deployment.store,
@@ -183,7 +215,10 @@
     peers = PeerFaults(deployment, faults=faults, rng=rng)
     kinds: list[Fault] = [faults.drain_primary_during_outage]
     if isolations_only:
-        kinds = [peers.drain_behind_isolated_proxy]
+        kinds = [
+            peers.drain_behind_isolated_proxy,
+            peers.lose_primary_but_for_refusing_proxy,
+        ]
     elif not drains_only:
         kinds += [
             faults.crash,
@@ -246,6 +281,7 @@
     program: str = PROXY_PROGRAM,
     drains_only: bool = False,
     isolations_only: bool = False,
+    losses_only: bool = False,
     restores: bool = False,
     lost_answers: bool = False,
     replaces: bool = False,
@@ -263,6 +299,8 @@
             of the proxies get no answers from the store.
         isolations_only: Whether the only kind of fault is a primary that drains while
             one proxy reaches neither the store nor other proxies.
+        losses_only: Whether the faults are instances that are lost for good or from the
+            store alone, also while all proxies are down, and entries that can't be read.
         restores: Whether the store also comes back from older backups.
         lost_answers: Whether instances also lose answers of statements that they ran.
         replaces: Whether each proxy is then replaced, one after the other.
@@ -286,12 +324,15 @@
             duration_s=duration_s,
             drains_only=drains_only,
             isolations_only=isolations_only,
+            losses_only=losses_only,
             restores=restores,
             lost_answers=lost_answers,
         )
         if replaces:
             await replace_each(deployment)
         served = await callers.wait_until_served(RECOVERY_S)
+        # What the faults have left shows in statements after them, too.
+        await deployment.timers.sleep(LOAD_AFTER_S)
         stop.set()
         await asyncio.gather(*load)
         return deployment, callers.history, served
--- a/src/heatherpier/platform/tests/test_soak.py
+++ b/src/heatherpier/platform/tests/test_soak.py
@@ -28,7 +28,9 @@
 # tested in serving/tests/test_reads.py.
 # 126: a change of primary that its coordinator had abandoned was continued only 15 s
 # later. It is also tested in leases/tests/test_change_of_primary.py.
-REGRESSIONS = (12, 126)
+# 1300: a change of primary did not wait for two members that had registered 0.3 s before
+# it. It is also tested in leases/tests/test_members_registered_late.py.
+REGRESSIONS = (12, 126, 1300)
 FAULT_SEEDS = range(1, 11)
 FIRST, LAST = os.environ.get("HEATHERPIER_SOAK_SEEDS", "1-1").split("-")
 SEEDS = (*range(int(FIRST), int(LAST) + 1), *REGRESSIONS)
@@ -52,6 +54,7 @@
     sys.path.insert(0, {sources!r})
 """
 
+LOSS_SEEDS = (401, *range(int(FIRST) + 1, int(LAST) + 1))
 LOST_ANSWER_SEEDS = (301, *range(int(FIRST) + 1, int(LAST) + 1))
 
 
@@ -67,7 +70,10 @@
         drains_only: Whether the only fault from outside is a primary that drains while
             half of the proxies get no answers from the store.
         isolations_only: Whether the only fault from outside is a primary that drains
-            while one proxy reaches neither the store nor other proxies.
+            while one proxy reaches neither the store nor other proxies, or a primary
+            that only such a proxy reaches, whose connections are refused.
+        losses_only: Whether the faults from outside are losses of instances, of their
+            entries and of all proxies.
         restores: Whether the store also comes back from older backups.
         lost_answers: Whether instances also lose answers of statements that they ran.
     """
@@ -77,6 +83,7 @@
     seeds: range = FAULT_SEEDS
     drains_only: bool = False
     isolations_only: bool = False
+    losses_only: bool = False
     restores: bool = False
     lost_answers: bool = False
 
@@ -102,6 +109,29 @@
         breaks=("old commits", "stale reads"),
         isolations_only=True,
     ),
+    # A first primary that no running process has seen is not replaced.
+    "first-primary-is-forgotten": SeededFault(
+        program=(
+            "import heatherpier.leases._first_primaries as first\n"
+            "import heatherpier.leases._watcher as watcher\n"
+            "first.FirstPrimaries.get = lambda self, service: None\n"
+            "watcher.PrimaryWatcher._is_unclaimed = lambda self: False\n"
+        ),
+        breaks=("never served",),
+        losses_only=True,
+    ),
+    # A change begins without a successor, and never ends with the old primary.
+    "old-primary-is-never-kept": SeededFault(
+        program=(
+            "import heatherpier.leases._successors as successors\n"
+            "import heatherpier.leases._watcher as watcher\n"
+            "async def find(self, *args): return None\n"
+            "successors.Successors._find_previous = find\n"
+            "watcher.PrimaryWatcher._has_other_instance = lambda *args: True\n"
+        ),
+        breaks=("never served",),
+        losses_only=True,
+    ),
     # Tokens are given out again after a restore of the store.
     "tokens-repeat": SeededFault(
         program=(
@@ -141,7 +171,7 @@
 FAULT_NAMES = tuple(SEEDED_FAULTS) if CHOSEN == "all" else tuple(CHOSEN.split(","))
 
 
-def find_broken_promises(deployment, history):
+def find_broken_promises(deployment, history, served):
     """Returns what the answers to callers and the tokens show to be broken."""
     group = deployment.group
     tokens = [token for _, token in group.promotions]
@@ -151,14 +181,14 @@
         "false refusals": find_false_refusals(group, history),
         "repeated writes": find_repeated_writes(group),
         "tokens out of order": [] if tokens == sorted(tokens) else tokens,
+        "never served": [] if served else [True],
     }
 
 
 def check_seed(deployment, history, served):
-    broken = find_broken_promises(deployment, history)
+    broken = find_broken_promises(deployment, history, served)
     assert {name: items for name, items in broken.items() if items} == {}
     assert len(history.writes) > MIN_WRITES
-    assert served
     for proxy in deployment.proxies:
         assert set(proxy.sigterm_exit_codes) <= {0}
         assert b"Traceback" not in proxy.stderr
@@ -199,17 +229,18 @@
 async def test_a_seeded_fault_is_detected(tmp_path, name):
     fault = SEEDED_FAULTS[name]
     for seed in fault.seeds:
-        deployment, history, _ = await run_seed(
+        deployment, history, served = await run_seed(
             tmp_path / str(seed),
             seed=seed,
             duration_s=FAULTS_S,
             program=fault.program + PROXY_PROGRAM,
             drains_only=fault.drains_only,
             isolations_only=fault.isolations_only,
+            losses_only=fault.losses_only,
             restores=fault.restores,
             lost_answers=fault.lost_answers,
         )
-        broken = find_broken_promises(deployment, history)
+        broken = find_broken_promises(deployment, history, served)
         if any(broken[promise] for promise in fault.breaks):
             print(f"{name}: found by seed {seed}")
             return
@@ -221,3 +252,12 @@
     check_seed(
         *await run_seed(tmp_path, seed=seed, duration_s=FAULTS_S, lost_answers=True)
     )
+
+
+@pytest.mark.parametrize("seed", LOSS_SEEDS)
+async def test_guarantees_hold_for_real_processes_when_instances_are_lost(
+    tmp_path, seed
+):
+    check_seed(
+        *await run_seed(tmp_path, seed=seed, duration_s=FAULTS_S, losses_only=True)
+    )
