Stand-in: an old primary that is promoted again does not step down

Cause: the simulated group had an old primary follow the next one about a second after that was promoted, also if the old one led a newer term by then. Both stepped down, and no instance led.

Change: the stand-in checks the terms. The proxies' code is unchanged.

--- a/src/heatherpier/bench/_simulated_group.py
+++ b/src/heatherpier/bench/_simulated_group.py
@@ -214,11 +214,15 @@
     async def _step_down_later(
         self, old: SimulatedInstance, new: SimulatedInstance
     ) -> None:
-        """Makes an old primary follow the new one once both can be reached."""
-        while old.leads:
+        """Makes an old primary follow the new one once both can be reached.
+
+        One that was promoted again meanwhile is no old primary any more.
+        """
+        while old.leads and old.term < new.term:
             await self.timers.sleep(OLD_PRIMARY_POLL_S)
             if (
-                old.running
+                old.term < new.term
+                and old.running
                 and not old.unresponsive
                 and new.running
                 and not new.unresponsive
