--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -494,6 +494,7 @@
         self._values = {}
         self._prepared = {}
         self._tx = None
+        self._caller = ""
 
     async def run(self):
         instance = self._instance
@@ -507,6 +508,7 @@
         if len(instance._writers) > instance.max_conns:
             self._writer.write(b"ERR OVERLOAD connections\r\n")
             return
+        self._caller = fields[2]
         async with instance.slots:
             await asyncio.sleep(0.012)
         self._writer.write(f"READY I {self._position()}\r\n".encode())
@@ -594,6 +596,7 @@
             "run",
             instance=instance.name,
             id=id_,
+            caller=self._caller,
             statement=word,
             pos=instance.position,
             values=self._values,
@@ -912,11 +915,11 @@
         return len(found), sum(o == "DONE" for o in found)
 
 
-async def one_operation(deployment, proxy, database, statement, name):
+async def one_operation(deployment, proxy, database, statement, name, key=""):
     """Opens a session for one statement; returns how it ended."""
     client = Client(deployment.record, proxy.host, deployment.ports[0], name)
     try:
-        refusal = await client.open(database)
+        refusal = await client.open(database, key)
         if refusal is not None:
             return refusal
         return (await client.query(statement))[1]
