--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -599,7 +599,7 @@
             caller=self._caller,
             statement=word,
             pos=instance.position,
-            values=self._values,
+            values=dict(self._values),
         )
         if word == "COMMIT":
             writes = self._tx[2]
