Odd entries: an address that is none no longer keeps a service without a primary

By reading, a read that was sent to such an entry got no answer at all.

Cause: the border took any text without blanks for a host, so the entry counted as an instance and its claim as a second one. To connect to it raises UnicodeError, which no caller of the connector expects: it passed through asyncio.gather, ended the question to all instances and the task that watches the primary, which was started again after 0.5 s and failed again, for good.

Change: the border accepts an IPv4 address of one machine, and an id and a service that fit into a message (a service with a line end would have ended the message). Whatever one instance raises beyond the errors of the interface becomes ConnectError or ControlError (_guarded_ports.py), so it counts as one that does not answer; it is counted, and logged once. An exchange that fails unexpectedly has an unknown outcome. A peer whose address is none is unreachable. Addresses of the store and of promotions are checked too.

Why it works: the entry names no instance any more, so one claim is left; and what still raises, at this or another place, is one answer that is missing, which each decision bounds in time.

--- a/src/heatherpier/_proxy_engine.py
+++ b/src/heatherpier/_proxy_engine.py
@@ -8,6 +8,7 @@
 import asyncio
 import random
 from contextlib import AsyncExitStack
+from dataclasses import replace
 from functools import partial
 
 from prometheus_client import CollectorRegistry
@@ -22,6 +23,11 @@
     REGISTRATION_S,
     WATCH_PERIOD_S,
 )
+from heatherpier._guarded_ports import (
+    GuardedConnector,
+    GuardedControl,
+    UnexpectedErrors,
+)
 from heatherpier._instance_list import InstanceList
 from heatherpier._supervision import Run, run_supervised
 from heatherpier.balancing import BalancingMetrics, LoadEstimates
@@ -122,7 +128,12 @@
         started_at: float | None = None,
     ) -> None:
         self._location = location
-        self._ports = ports
+        errors = UnexpectedErrors(metrics)
+        self._ports = ports = replace(
+            ports,
+            connector=GuardedConnector(ports.connector, errors=errors),
+            control=GuardedControl(ports.control, errors=errors),
+        )
         self._layout = layout
         self._timers = timers
         self._rng = rng
--- a/src/heatherpier/fleet/_zmq.py
+++ b/src/heatherpier/fleet/_zmq.py
@@ -152,7 +152,8 @@
         """Sends ``message`` and returns the peer's answer.
 
         Raises:
-            PeerUnreachableError: No answer came in time, or an empty one.
+            PeerUnreachableError: No answer came in time, or an empty one, or the
+                peer's address is none.
         """
         link = self._link(peer)
         request_id = next(self._ids)
@@ -186,8 +187,8 @@
                 _, writer = await asyncio.open_connection(peer.host, peer.port)
         except ConnectionRefusedError:
             return True
-        except (TimeoutError, OSError):
-            # The peer may be running: neither error shows that nothing listens.
+        except (TimeoutError, OSError, ValueError, OverflowError):
+            # The peer may be running: no such error shows that nothing listens.
             return False
         writer.transport.abort()
         return False
@@ -218,7 +219,11 @@
             sock.curve_publickey = self._keys.public
             sock.curve_serverkey = self._keys.public
         _set_limits(sock)
-        sock.connect(f"tcp://{peer.host}:{peer.port}")
+        try:
+            sock.connect(f"tcp://{peer.host}:{peer.port}")
+        except zmq.ZMQError as exc:
+            sock.close(linger=0)
+            raise PeerUnreachableError(f"{peer.name}: {exc}") from exc
         return sock
 
     def _spawn(self, coro: Any) -> asyncio.Task[None]:
--- a/src/heatherpier/fleet/tests/test_zmq.py
+++ b/src/heatherpier/fleet/tests/test_zmq.py
@@ -106,3 +106,13 @@
         for socket in leaked:
             socket.close(linger=0)
     assert leaked == set()
+
+
+async def test_peer_whose_address_is_none_is_unreachable(timers):
+    # Guards against one member's row that ends what is asked of all members.
+    keys = new_keys()
+    odd = Peer(name="x", host="h\u00f6st", port=7440, data_centre="north-a")
+    async with make("proxy-1", timers, keys=keys) as client:
+        with pytest.raises(PeerUnreachableError, match="x: "):
+            await client.request(odd, PING, timeout_s=0.5)
+        assert not await client.refuses(odd, timeout_s=0.5)
--- a/src/heatherpier/platform/_instances.py
+++ b/src/heatherpier/platform/_instances.py
@@ -1,5 +1,6 @@
 """Decoding of the records that instances write into the store."""
 
+from ipaddress import AddressValueError, IPv4Address
 from typing import Annotated, Literal
 
 import msgspec
@@ -7,6 +8,7 @@
 from heatherpier.decoding import DECODE_ERRORS
 from heatherpier.discovery import InstanceRecord
 from heatherpier.platform._errors import MalformedRecordError
+from heatherpier.platform._line import ENCODING
 from heatherpier.upstreams import Instance
 
 # Table of the store in which each instance has a row; the key is its id.
@@ -49,8 +51,12 @@
     """
     try:
         if not _is_word(name):
-            raise ValueError("expected an id without blanks")
+            raise ValueError("expected an id that fits into a message")
         entry = _decoder.decode(body)
+        if not _is_word(entry.service):
+            raise ValueError(
+                f"expected a service that fits into a message, got {entry.service!r:.60}"
+            )
         host, port = split_address(entry.address)
     except DECODE_ERRORS as exc:
         raise MalformedRecordError(f"instance {name!r:.60}: {exc}") from exc
@@ -73,15 +79,33 @@
     """Returns host and port of an address ``IP:port``.
 
     Raises:
-        ValueError: The address has another form.
+        ValueError: The address has another form, or nothing can listen there.
     """
     host, colon, port = address.rpartition(":")
     is_number = port.isascii() and port.isdecimal() and len(port) <= MAX_PORT_DIGITS
-    if not (colon and _is_word(host) and is_number and 0 < int(port) <= MAX_PORT):
+    if not (colon and _is_host(host) and is_number and 0 < int(port) <= MAX_PORT):
         raise ValueError(f"expected IP:port, got {address!r:.60}")
     return host, int(port)
 
 
+def _is_host(text: str) -> bool:
+    """Returns whether a text is the IPv4 address of one machine.
+
+    A name would be looked up at each connection, and a connection to the unspecified
+    address leads to this machine.
+    """
+    try:
+        ip = IPv4Address(text)
+    except AddressValueError:
+        return False
+    return not (ip.is_unspecified or ip.is_multicast or ip.is_reserved)
+
+
 def _is_word(text: str) -> bool:
     """Returns whether a text can stand between two blanks of a message."""
-    return bool(text) and text.isprintable() and not any(map(str.isspace, text))
+    if not text.isprintable() or any(map(str.isspace, text)):
+        return False
+    try:
+        return bool(text.encode(ENCODING))
+    except UnicodeEncodeError:
+        return False
--- a/src/heatherpier/platform/_settings.py
+++ b/src/heatherpier/platform/_settings.py
@@ -138,6 +138,8 @@
         _, callers_port = split_address(raw.listen.front)
         _, ready_port = split_address(raw.listen.ready)
         seeds = tuple(split_address(seed)[0] for seed in raw.seeds)
+        for address in (raw.platform.address, raw.cloud_api.address):
+            split_address(address)
     except (OSError, *DECODE_ERRORS) as exc:
         raise MalformedRecordError(f"{path}: {exc}") from exc
     first, last = raw.internal_ports
--- a/src/heatherpier/platform/_upstream.py
+++ b/src/heatherpier/platform/_upstream.py
@@ -61,7 +61,9 @@
             _, channel = await asyncio.get_running_loop().create_connection(
                 LineChannel, instance.host, instance.port
             )
-        except OSError as exc:
+        except (OSError, ValueError, OverflowError) as exc:
+            # The event loop raises ValueError for a host that it can't encode, and
+            # OverflowError for a port that is too large.
             raise ConnectError(f"{instance.name}: {exc}") from exc
         link = LineLink(channel, name=instance.name)
         try:
@@ -94,11 +96,13 @@
             ConnectError: Nothing answers at the address, or another instance does.
             TooManyConnectionsError: The instance is at its connection limit.
         """
-        self._channel.write(f"START {service} {caller} {self._name}\r\n")
         try:
+            self._channel.write(f"START {service} {caller} {self._name}\r\n")
             word, fields = await self._read_message()
         except ConnectionLostError as exc:
             raise ConnectError(str(exc)) from exc
+        except UnicodeEncodeError as exc:
+            raise ConnectError(f"{self._name}: {exc}") from exc
         if word == "READY":
             return
         failure = parse_failure(fields)
--- a/src/heatherpier/platform/tests/test_odd_entries.py
+++ b/src/heatherpier/platform/tests/test_odd_entries.py
@@ -68,7 +68,40 @@
         decode_instance("i-1", json.dumps(ENTRY | change).encode())
 
 
-@pytest.mark.parametrize("name", ["", "i 1", "i\r\nBYE", "i\0", "i\u2028"])
+@pytest.mark.parametrize(
+    "host",
+    [
+        "127.0..9",
+        "1.2.3",
+        "256.1.1.1",
+        "010.0.0.1",
+        "0x7f.1",
+        "0.0.0.0",
+        "224.0.0.1",
+        "255.255.255.255",
+        "a" * 70,
+        "host",
+        "-",
+        "h\u00f6st",
+        "\u0661.2.3.4",
+        "::1",
+    ],
+)
+def test_an_address_that_is_no_ip_names_no_instance(host):
+    # Guards against a decision about a service that fails at such an address, for good.
+    with pytest.raises(MalformedRecordError, match="i-1.*expected IP:port"):
+        decode_instance("i-1", json.dumps(ENTRY | {"address": f"{host}:80"}).encode())
+
+
+@pytest.mark.parametrize("service", ["", "a b", "a\r\nBYE", "\u0395"])
+def test_a_service_that_would_break_a_message_names_no_instance(service):
+    # Guards against a text in the first message to an instance that ends the message,
+    # or that can't be sent.
+    with pytest.raises(MalformedRecordError, match="i-1"):
+        decode_instance("i-1", json.dumps(ENTRY | {"service": service}).encode())
+
+
+@pytest.mark.parametrize("name", ["", "i 1", "i\r\nBYE", "i\0", "i\u2028", "i-\u0395"])
 def test_an_id_that_would_break_a_message_names_no_instance(name):
     with pytest.raises(MalformedRecordError):
         decode_instance(name, json.dumps(ENTRY).encode())
--- a/src/heatherpier/pooling/_connection.py
+++ b/src/heatherpier/pooling/_connection.py
@@ -1,5 +1,6 @@
 """A connection to an instance and the session state that is set on it."""
 
+import asyncio
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 
@@ -13,10 +14,18 @@
     RollBack,
 )
 from heatherpier.pooling._interface import InstanceLink
+from heatherpier.requests import OverloadedError
 from heatherpier.statements import Access, Done, Reply, SessionState
+from heatherpier.telemetry import get_logger
 from heatherpier.timers import Timers
-from heatherpier.upstreams import AnswerTimeoutError, ConnectError
+from heatherpier.upstreams import (
+    AnswerTimeoutError,
+    ConnectError,
+    ConnectionLostError,
+    UpstreamError,
+)
 
+log = get_logger("lending")
 # A connection with at least this many prepared statements is cleared at its next use.
 MAX_PREPARED = 256
 
@@ -128,9 +137,16 @@
             raise AnswerTimeoutError(
                 f"{self.instance}: no answer within {timeout_s + grace_s:.3f} s"
             ) from exc
-        except BaseException:
+        except (UpstreamError, OverloadedError, asyncio.CancelledError):
             self.abort()
             raise
+        except Exception as exc:
+            # The calls may have been sent, so their outcome is unknown.
+            self.abort()
+            log.exception("unexpected error of an exchange", instance=self.instance)
+            raise ConnectionLostError(
+                f"{self.instance}: unexpected {type(exc).__name__}: {exc}"
+            ) from exc
         self._busy = False
         self.used_at = self._timers.now()
         for call, reply in zip(calls, replies, strict=True):
--- a/src/heatherpier/pooling/tests/test_pool.py
+++ b/src/heatherpier/pooling/tests/test_pool.py
@@ -7,7 +7,12 @@
 from heatherpier.pooling import ConnectionPool, ConnectionShares, PoolLimits
 from heatherpier.requests import OverloadedError
 from heatherpier.statements import Done, Reply, SessionState
-from heatherpier.upstreams import ConnectError, Instance, TooManyConnectionsError
+from heatherpier.upstreams import (
+    ConnectError,
+    ConnectionLostError,
+    Instance,
+    TooManyConnectionsError,
+)
 
 INSTANCE = Instance(name="i-1", host="10.0.0.1", port=1, data_centre="north")
 
@@ -264,3 +269,19 @@
     await timers.sleep(0.05)
     await use(pool, timers, within=0.05)
     assert pool.open_connections == 1
+
+
+async def test_an_unexpected_error_of_an_exchange_leaves_its_outcome_unknown(
+    pool, timers
+):
+    # Guards against an error that ends the caller's connection without an answer, and
+    # against "has not run" after a statement may have been sent.
+    conn = await use(pool, timers)
+
+    async def fail(calls):
+        raise KeyError("row")
+
+    conn._link.exchange = fail
+    with pytest.raises(ConnectionLostError, match="i-1: unexpected KeyError"):
+        await conn.run([], timeout_s=1.0)
+    assert not conn.usable
