--- a/src/heatherpier/platform/tests/_loss_faults.py
+++ b/src/heatherpier/platform/tests/_loss_faults.py
@@ -19,6 +19,10 @@
     b"\xff\xfe",
     b"null",
     b"[]",
+    b'{"service":"claims","address":"127.0..9:8784","zone":"south-a",'
+    b'"state":"ready","dbRole":"primary"}',
+    b'{"service":"claims x","address":"10.0.0.1:8784","zone":"south-a",'
+    b'"state":"ready","dbRole":"primary"}',
 )
 
 
--- a/src/heatherpier/platform/tests/test_soak.py
+++ b/src/heatherpier/platform/tests/test_soak.py
@@ -126,6 +126,26 @@
         breaks=("never served",),
         losses_only=True,
     ),
+    # Any text is a host, and what connecting to it raises ends each decision.
+    "malformed-host-is-an-instance": SeededFault(
+        program=(
+            "import heatherpier._guarded_ports as guarded\n"
+            "import heatherpier.platform._instances as instances\n"
+            "import heatherpier.platform._upstream as upstream\n"
+            "instances._is_host = bool\n"
+            "connect = upstream.LineConnector.connect\n"
+            "async def connect_or_raise(self, instance, **arguments):\n"
+            "    instance.host.encode('idna')\n"
+            "    return await connect(self, instance, **arguments)\n"
+            "upstream.LineConnector.connect = connect_or_raise\n"
+            "for name in ('replication_status', 'demote'):\n"
+            "    def call(self, *items, name=name, **arguments):\n"
+            "        return getattr(self._control, name)(*items, **arguments)\n"
+            "    setattr(guarded.GuardedControl, name, call)\n"
+        ),
+        breaks=("never served",),
+        losses_only=True,
+    ),
     # A change begins without a successor, and never ends with the old primary.
     "old-primary-is-never-kept": SeededFault(
         program=(
