Sessions: a commit belongs to the service that ran it

What callers saw: a session of a read_own_writes route committed, its route moved to another service, where it committed again, and back.

Cause: CallerSession kept the position of its last commit without the service. The commit on the second service replaced the one on the first, and its position was compared with positions of the first service's log.

Change: a session keeps its last commit on each service that ran one, by the route of the write or of the transaction and not by the one that is active when the answer comes, with the time of the acknowledgement. A sample taken after that time covers the commit, so it needs no position.

Why it works: positions are compared only with those of the same service, and a commit without a usable position sends the read to the primary until a sample covers it.

--- a/src/heatherpier/bench/_simulated_deployment.py
+++ b/src/heatherpier/bench/_simulated_deployment.py
@@ -6,6 +6,7 @@
 
 import itertools
 import random
+from collections.abc import Collection, Mapping
 from contextlib import AsyncExitStack
 
 from prometheus_client import CollectorRegistry
@@ -160,24 +161,29 @@
         organisations: tuple[Organisation, ...] | None = None,
         keys: dict[str, str] | None = None,
         limits: CallerLimits | None = None,
+        served_by: Mapping[str, str] | None = None,
+        without: Collection[str] = (),
     ) -> int:
         """Writes a new configuration to the store and returns its version.
 
         Args:
             routes: Consistency of each database, whose name is the name of its service
-                and a suffix after a hyphen.
+                and a suffix after a hyphen, unless ``served_by`` names another one.
             padding: Text that makes the row as large as that of many routes.
             organisations: The organisations, or None if callers are not identified.
             keys: Name of the organisation that holds each key.
             limits: Limits on the connections of callers, or None for the defaults.
+            served_by: Service of databases that another service serves, by database.
+            without: Services that are left out of the configuration.
         """
+        services = served_by or {}
         self._configuration_version += 1
         table = RoutingTable(
             version=self._configuration_version,
             routes={
                 database: Route(
                     database=database,
-                    service=database.rsplit("-", 1)[0],
+                    service=services.get(database, database.rsplit("-", 1)[0]),
                     consistency=consistency,
                     statement_timeout_s=STATEMENT_TIMEOUT_S,
                     objective_s=OBJECTIVE_S,
@@ -191,7 +197,7 @@
                     max_connections=self._connections,
                     synchronous_replicas=self._synchronous,
                 )
-                for name in self.groups
+                for name in self.groups.keys() - set(without)
             },
             organisations=None
             if organisations is None
--- a/src/heatherpier/serving/_context.py
+++ b/src/heatherpier/serving/_context.py
@@ -7,7 +7,6 @@
 from heatherpier.identities import CallerDirectory
 from heatherpier.leases import InFlightWork, Lease, NoLease, PrimaryLeases
 from heatherpier.pooling import InstancePools
-from heatherpier.positions import LogPosition
 from heatherpier.quotas import OpenGate, QuotaGate
 from heatherpier.routing import (
     ActiveRoutes,
@@ -22,6 +21,7 @@
 from heatherpier.serving._read_balancer import ReadBalancer
 from heatherpier.serving._read_rate import ReadRateLimiter
 from heatherpier.serving._replica_selector import ReplicaSelector
+from heatherpier.serving._session_commits import SessionCommit
 from heatherpier.timers import Timers
 
 
@@ -87,14 +87,14 @@
                 return None
 
     def min_position(
-        self, route: Route, own_commit: LogPosition | None
+        self, route: Route, own_commit: SessionCommit | None
     ) -> PositionSample | None:
         """Returns the position sample that a replica must include to serve a read.
 
         Args:
             route: The route of the read.
-            own_commit: Position of the session's last commit, or None if it has not
-                committed anything.
+            own_commit: The session's last commit on the route's service, or None if
+                it has not committed anything there.
 
         Returns:
             The sample, or None if no replica may serve the read: the route reads on
@@ -107,27 +107,41 @@
             case BoundedStaleness(max_age_s=max_age_s):
                 return positions.min_position(max_age_s)
             case ReadOwnWrites(max_age_s=max_age_s):
-                sample = positions.min_position(max_age_s)
-                return _include_own_commit(sample, own_commit, positions.newest)
+                return _min_position_with_commit(positions, max_age_s, own_commit)
 
 
-def _include_own_commit(
-    sample: PositionSample | None,
-    own_commit: LogPosition | None,
-    newest: PositionSample | None,
+def _min_position_with_commit(
+    positions: PositionHistory, max_age_s: float, commit: SessionCommit | None
 ) -> PositionSample | None:
-    """Returns a minimum position that covers a sample and a session's last commit.
+    """Returns the sample that keeps a read within a maximum age and covers a commit."""
+    sample = positions.min_position(max_age_s)
+    if sample is None or commit is None or _covers(sample, commit):
+        return sample
+    if commit.position is None:
+        return positions.min_position(max_age_s, not_before=commit.acknowledged_at)
+    taken_at = sample.taken_at
+    # A position beyond the newest sample covers all commits that the sample covers.
+    newest = positions.newest
+    if newest is not None and commit.position >= newest.position:
+        taken_at = newest.taken_at
+    return PositionSample(taken_at, commit.position)
+
+
+def _covers(sample: PositionSample, commit: SessionCommit) -> bool:
+    """Returns whether a log that includes a sample includes a commit.
+
+    A sample that was taken after the acknowledgement covers the commit, also if the
+    service has come back with another log, in which the commit does not exist.
 
     A commit of an older term needs no check of its own: either the new term's log
     began with it, so that each sample of the new term covers it, or it was rolled
     back.
     """
-    if sample is None or own_commit is None or own_commit <= sample.position:
-        return sample
-    if own_commit.term < sample.position.term:
-        return sample
-    taken_at = sample.taken_at
-    # A position beyond the newest sample covers all commits that the sample covers.
-    if newest is not None and own_commit >= newest.position:
-        taken_at = newest.taken_at
-    return PositionSample(taken_at, own_commit)
+    if sample.taken_at >= commit.acknowledged_at:
+        return True
+    if commit.position is None:
+        return False
+    return (
+        commit.position <= sample.position
+        or commit.position.term < sample.position.term
+    )
--- a/src/heatherpier/serving/_pending_statement.py
+++ b/src/heatherpier/serving/_pending_statement.py
@@ -5,6 +5,7 @@
 from heatherpier.pooling import ConnectionUse, Forward, ForwardExecute, SessionNeeds
 from heatherpier.positions import LogPosition
 from heatherpier.routing import Route
+from heatherpier.serving._session_commits import SessionCommit
 
 # Fraction of the latency objective for which a statement queues for a connection.
 # After that, a refusal serves the caller better: it can retry elsewhere.
@@ -24,8 +25,8 @@
         route: Route of its database.
         deadline: Monotonic time in seconds by which it must be answered.
         writes: Whether it may change data.
-        own_commit: Position of the session's last commit, or None if the session has
-            not committed anything.
+        own_commit: The session's last commit on the route's service, or None if the
+            session has not committed anything there.
         organisation: Organisation whose statement it is, or empty if callers are not
             identified.
     """
@@ -35,7 +36,7 @@
     route: Route
     deadline: float
     writes: bool
-    own_commit: LogPosition | None = None
+    own_commit: SessionCommit | None = None
     organisation: str = ""
 
     @property
--- a/src/heatherpier/serving/_positions.py
+++ b/src/heatherpier/serving/_positions.py
@@ -114,17 +114,22 @@
         while self._samples[0].taken_at < taken_at - SAMPLE_RETENTION_S:
             self._samples.popleft()
 
-    def min_position(self, max_age_s: float) -> PositionSample | None:
+    def min_position(
+        self, max_age_s: float, *, not_before: float = float("-inf")
+    ) -> PositionSample | None:
         """Returns the oldest sample that keeps a read within a maximum age.
 
         Args:
             max_age_s: Time in seconds; the read must see all commits that were
                 acknowledged earlier than this before it.
+            not_before: Time in seconds by `Timers.elapsed`; earlier samples are passed
+                over.
 
         Returns:
             The sample, or None if no sample is recent enough.
         """
-        earliest = self._timers.elapsed() - max_age_s + TRANSIT_ALLOWANCE_S
+        oldest_allowed = self._timers.elapsed() - max_age_s + TRANSIT_ALLOWANCE_S
+        earliest = max(oldest_allowed, not_before)
         for sample in self._samples:
             if sample.taken_at >= earliest:
                 return sample
--- a/src/heatherpier/serving/_session.py
+++ b/src/heatherpier/serving/_session.py
@@ -10,12 +10,12 @@
     SessionNeeds,
     shape_name,
 )
-from heatherpier.positions import LogPosition
 from heatherpier.quotas import Refusal, Right
 from heatherpier.routing import Route
 from heatherpier.serving._context import ServingContext
 from heatherpier.serving._pending_statement import PendingStatement
 from heatherpier.serving._runner import RETRY_AFTER_MS, Runner, failed_reply
+from heatherpier.serving._session_commits import SessionCommits
 from heatherpier.serving._transaction import Transaction
 from heatherpier.statements import (
     Access,
@@ -120,7 +120,7 @@
         self._ended_because = IDLE_TOO_LONG
         # The right of the open transaction, once one of its statements was run.
         self._right: Right | None = None
-        self._own_commit: LogPosition | None = None
+        self._commits = SessionCommits()
         context.metrics.sessions.inc()
 
     @property
@@ -236,7 +236,7 @@
         reply = await transaction.commit(statement)
         self._transaction = None
         if transaction.wrote:
-            self._note_commit(reply)
+            self._note_commit(transaction.route, reply)
         return replace(reply, state=SessionState.IDLE)
 
     def end_transaction(self, *, reason: str) -> None:
@@ -325,7 +325,7 @@
         if _surely_not_run(reply):
             right.put_back()
         if writes:
-            self._note_commit(reply)
+            self._note_commit(route, reply)
         return reply
 
     async def _run_in_transaction(
@@ -418,13 +418,18 @@
             route=route,
             deadline=self._context.timers.now() + route.statement_timeout_s,
             writes=writes,
-            own_commit=self._own_commit,
+            own_commit=self._commits.last(route.service),
             organisation=organisation,
         )
 
-    def _note_commit(self, reply: Reply) -> None:
+    def _note_commit(self, route: Route, reply: Reply) -> None:
+        """Records an acknowledged commit; ``route`` is the one that it ran on."""
         if isinstance(reply.outcome, Done) and reply.position is not None:
-            self._own_commit = reply.position
+            self._commits.note(
+                route.service,
+                reply.position,
+                acknowledged_at=self._context.timers.elapsed(),
+            )
 
     def _find_route(self) -> Route | Reply:
         found = find_route(self._context, self.database)
