Sessions: a commit without a position is noted too

If an instance acknowledges a commit without a position, the session's next reads could run on a replica that lacks it (STALE).

Cause: a commit was noted only if its answer had a position.

Change: it is noted with the time of its acknowledgement. Samples of the primary that were taken after that time cover it.

Why it works: a sample covers all commits that were acknowledged before its request was sent, whatever their positions. Without such a sample the read goes to the primary.

Result: test_a_commit_whose_answer_has_no_position_counts, for a single write and for a transaction, fails without the change (position 5 read, 6 committed).

--- a/src/heatherpier/serving/_session.py
+++ b/src/heatherpier/serving/_session.py
@@ -424,7 +424,7 @@
 
     def _note_commit(self, route: Route, reply: Reply) -> None:
         """Records an acknowledged commit; ``route`` is the one that it ran on."""
-        if isinstance(reply.outcome, Done) and reply.position is not None:
+        if isinstance(reply.outcome, Done):
             self._commits.note(
                 route.service,
                 reply.position,
--- a/src/heatherpier/serving/tests/test_own_commits.py
+++ b/src/heatherpier/serving/tests/test_own_commits.py
@@ -1,8 +1,11 @@
 """Reads of sessions whose commits are on several services."""
 
+from dataclasses import replace
+
 import pytest
 
 from heatherpier.bench import SimulatedDeployment, ask
+from heatherpier.bench._simulated_link import SimulatedLink
 from heatherpier.forwarding.tests._clubs import KEY, Clubs
 from heatherpier.positions import LogPosition
 from heatherpier.routing import AnyCommit, Organisation, ReadOwnWrites
@@ -175,3 +178,21 @@
             f"other-{number}", LogPosition(1, 1), acknowledged_at=now
         )
     await moves.assert_reads_include(committed)
+
+
+# Guards against an acknowledged commit that counts for nothing as its answer has no
+# position.
+@pytest.mark.parametrize(
+    "texts", [("WRITE claim",), ("BEGIN", "WRITE claim", "COMMIT")]
+)
+async def test_a_commit_whose_answer_has_no_position_counts(moves, monkeypatch, texts):
+    run = SimulatedLink.run
+
+    async def run_without_position(self, call):
+        return replace(await run(self, call), position=None)
+
+    with monkeypatch.context() as patch:
+        patch.setattr(SimulatedLink, "run", run_without_position)
+        await moves.run(*texts)
+    committed = moves.deployment.groups["claims"].primary().received()
+    await moves.assert_reads_include(committed)
