Positions: samples of a former log are dropped

If a service left the configuration and came back with another log, whose terms begin anew, its reads ran on the primary only, two at a time for each proxy, until the process ended.

Cause: samples are kept by the name of the service, and one of a lower term than the newest is dropped, so no sample of the new log was recorded.

Change: samples of a service are dropped when it leaves or joins the configuration; samples of other services are ignored, also those of peers; a sample of a lower term counts if it is more than 30 s later than all others.

Why it works: each sample alone bounds the age of a read, so dropping one costs a read on the primary and accepting one makes no read older. In one log, lower terms come late by less than 30 s, the time for which samples are kept.

--- a/src/heatherpier/_proxy_engine.py
+++ b/src/heatherpier/_proxy_engine.py
@@ -266,6 +266,7 @@
                 SharedPositions(
                     self.context.positions,
                     positions_of=self.context.positions_of,
+                    is_configured=self._is_configured,
                     timers=timers,
                 ),
                 clock_id=rng.getrandbits(CLOCK_ID_BITS),
@@ -505,6 +506,7 @@
     def _update_watchers(self, table: RoutingTable) -> None:
         if not self._watchers:
             self._start_task(self._first_primaries.run)
+        self.context.keep_positions(table.services.keys() & self._watchers.keys())
         for service in table.services.keys() - self._watchers.keys():
             watcher = self._make_watcher(service)
             self._watchers[service] = asyncio.create_task(
@@ -538,6 +540,10 @@
             rng=self._rng,
         )
 
+    def _is_configured(self, service: str) -> bool:
+        """Returns whether the configuration has a service, or may have it."""
+        return not self._routes.known or service in self._routes.table.services
+
     def _synchronous_replicas(self, service: str) -> int:
         """Returns how many replicas hold a commit when it is acknowledged."""
         spec = self._routes.table.services.get(service)
--- a/src/heatherpier/serving/_context.py
+++ b/src/heatherpier/serving/_context.py
@@ -1,6 +1,6 @@
 """State that all sessions of a proxy share."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
 
 from heatherpier.discovery import InstanceRegistry
@@ -86,6 +86,14 @@
             case NoLease():
                 return None
 
+    def keep_positions(self, services: Collection[str]) -> None:
+        """Drops the position samples of all services but the given ones.
+
+        A service that leaves the configuration may come back with another log.
+        """
+        for service in self.positions.keys() - services:
+            self.positions.pop(service).clear()
+
     def min_position(
         self, route: Route, own_commit: SessionCommit | None
     ) -> PositionSample | None:
--- a/src/heatherpier/serving/_positions.py
+++ b/src/heatherpier/serving/_positions.py
@@ -100,8 +100,11 @@
         newest = self.newest
         if newest is not None:
             if position.term < newest.position.term:
-                return
-            if position.term > newest.position.term:
+                if taken_at - newest.taken_at < SAMPLE_RETENTION_S:
+                    return
+                # Terms of a log only rise, so the service has another log now.
+                self._samples.clear()
+            elif position.term > newest.position.term:
                 # Positions of the old term may have been rolled back.
                 self._samples.clear()
             elif (
@@ -114,6 +117,11 @@
         while self._samples[0].taken_at < taken_at - SAMPLE_RETENTION_S:
             self._samples.popleft()
 
+    def clear(self) -> None:
+        """Drops all samples; waiting reads no longer wait for this history."""
+        self._samples.clear()
+        self._wake()
+
     def min_position(
         self, max_age_s: float, *, not_before: float = float("-inf")
     ) -> PositionSample | None:
--- a/src/heatherpier/serving/_shared_positions.py
+++ b/src/heatherpier/serving/_shared_positions.py
@@ -17,6 +17,8 @@
     Args:
         positions: Position samples by service.
         positions_of: Returns the samples of a service, which may be new.
+        is_configured: Returns whether a service may be in the configuration. A peer may
+            know another one, and its samples of other services are ignored.
         timers: Timer service.
     """
 
@@ -25,10 +27,12 @@
         positions: dict[str, PositionHistory],
         *,
         positions_of: Callable[[str], PositionHistory],
+        is_configured: Callable[[str], bool],
         timers: Timers,
     ) -> None:
         self._positions = positions
         self._positions_of = positions_of
+        self._is_configured = is_configured
         self._timers = timers
 
     def newest(self) -> dict[str, tuple[LogPosition, float]]:
@@ -41,6 +45,8 @@
 
     def note(self, service: str, position: LogPosition, *, taken_at: float) -> bool:
         """Records a sample; returns whether the service had no recent one before."""
+        if not self._is_configured(service):
+            return False
         history = self._positions_of(service)
         before = history.newest
         history.note(position, taken_at=taken_at)
