Soak: sessions that stay open while their route moves between two services

The client knows each commit of a session by the service that signed it; reads that lack one which no promotion has rolled back break the new promise "own commits".

--- a/src/heatherpier/platform/tests/_deployment.py
+++ b/src/heatherpier/platform/tests/_deployment.py
@@ -5,6 +5,7 @@
 import signal
 import sys
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 from heatherpier.bench import free_ports
 from heatherpier.bench._row_store import MemoryRowStore
@@ -18,8 +19,14 @@
 )
 from heatherpier.timers import LoopTimers
 
+if TYPE_CHECKING:
+    from heatherpier.platform.tests._moving_routes import MovingSessions
+
 ZONES = ("north-a", "central-a", "south-a")
 SERVICE = "claims"
+# Service that the route of `MOVING_DATABASE` moves to and from.
+OTHER_SERVICE = "archive"
+MOVING_DATABASE = "own"
 MAX_AGE_S = 1.5
 STATEMENT_TIMEOUT_S = 0.8
 GRACE_S = 3.0
@@ -36,6 +43,7 @@
 DATABASES = {
     "exact": ("primary", 0),
     "aged": ("bounded_staleness", MAX_AGE_S * 1000),
+    MOVING_DATABASE: ("read_own_writes", MAX_AGE_S * 1000),
 }
 
 
@@ -89,18 +97,20 @@
 
 
 class Deployment:
-    """Runs proxies, one simulated group and a simulated store.
+    """Runs proxies, simulated groups and a simulated store.
 
     Args:
         folder: Folder for the settings and logs of the proxies.
         proxies: Number of proxies.
         program: Python source that runs a proxy with the settings file given as the
             first argument.
+        moves: Whether there is a second service, which a route can move to.
 
     Attributes:
         timers: Timer service.
         store: Store of the deployment.
-        group: Group of the only service.
+        group: Group of the first service, which faults hit.
+        groups: Groups by service.
         proxies: All proxies, also those that have ended.
         relays: Relays of the connections between proxies.
         callers_port: Port for callers, on the address of each proxy.
@@ -108,19 +118,32 @@
         late_work: Times in seconds since an instance said that it leaves at which new
             work reached it, beyond `DRAIN_S`.
         latest_work_s: The latest such time of all leaving instances, late or not.
+        moving: Sessions whose route moves, or None if it does not.
     """
 
     def __init__(
-        self, folder: Path, *, proxies: int = 4, program: str = PROXY_PROGRAM
+        self,
+        folder: Path,
+        *,
+        proxies: int = 4,
+        program: str = PROXY_PROGRAM,
+        moves: bool = False,
     ) -> None:
         self.timers = LoopTimers()
         self.store = MemoryRowStore(timers=self.timers)
-        self.group = SimulatedGroup(SERVICE, zones=list(ZONES), timers=self.timers)
+        services = (SERVICE, OTHER_SERVICE) if moves else (SERVICE,)
+        self.groups = {
+            name: SimulatedGroup(name, zones=list(ZONES), timers=self.timers)
+            for name in services
+        }
+        self.group = self.groups[SERVICE]
+        self._configuration_version = 0
         self.lost: set[str] = set()
         self.late_work: list[float] = []
         self.latest_work_s = 0.0
+        self.moving: MovingSessions | None = None
         self._folder = folder
-        self._store_server = StoreServer(self.store, {SERVICE: self.group})
+        self._store_server = StoreServer(self.store, self.groups)
         self._instance_servers: dict[str, tuple[InstanceServer, int]] = {}
         self.proxies = [
             ProxyProcess(
@@ -139,11 +162,12 @@
         )
 
     async def __aenter__(self) -> "Deployment":
-        self.store.write("op", "config", json.dumps(self._configuration()).encode())
-        for instance in self.group.instances.values():
-            server = InstanceServer(self.group, instance, timers=self.timers)
-            self._instance_servers[instance.name] = (server, await server.start())
-            self.register(instance)
+        self.configure()
+        for group in self.groups.values():
+            for instance in group.instances.values():
+                server = InstanceServer(group, instance, timers=self.timers)
+                self._instance_servers[instance.name] = (server, await server.start())
+                self.register(instance)
         relay_ports = await self.relays.start()
         for proxy, port in zip(
             self.proxies, free_ports(len(self.proxies)), strict=True
@@ -168,7 +192,7 @@
     def register(self, instance: SimulatedInstance) -> None:
         """Writes the current entry of an instance to the store."""
         port = self._instance_servers[instance.name][1]
-        row = instance_row(instance, service=SERVICE, port=port)
+        row = instance_row(instance, service=instance.record.service, port=port)
         self.store.write("servers", instance.name, row)
 
     def unregister(self, instance: SimulatedInstance) -> None:
@@ -198,7 +222,17 @@
         """Resets all connections of an instance."""
         self._instance_servers[instance.name][0].reset()
 
-    def _configuration(self) -> dict[str, object]:
+    def configure(self, *, moved_to: str = SERVICE) -> None:
+        """Writes a new configuration.
+
+        Args:
+            moved_to: Service that serves `MOVING_DATABASE`.
+        """
+        self._configuration_version += 1
+        body = self._configuration(self._configuration_version, moved_to)
+        self.store.write("op", "config", json.dumps(body).encode())
+
+    def _configuration(self, version: int, moved_to: str) -> dict[str, object]:
         routes = [
             {
                 "host": name,
@@ -207,12 +241,17 @@
                 "timeoutMs": STATEMENT_TIMEOUT_S * 1000,
                 "targetLatencyMs": 400,
                 "priority": 1,
-                "service": SERVICE,
+                "service": moved_to if name == MOVING_DATABASE else SERVICE,
             }
             for name, (kind, age_ms) in DATABASES.items()
         ]
-        services = [{"name": SERVICE, "maxConns": 40}]
-        return {"version": 1, "routes": routes, "services": services, "limits": {}}
+        services = [{"name": name, "maxConns": 40} for name in self.groups]
+        return {
+            "version": version,
+            "routes": routes,
+            "services": services,
+            "limits": {},
+        }
 
     def _write_settings(
         self, proxy: ProxyProcess, *, store_port: int, relay_ports: dict[str, int]
--- a/src/heatherpier/platform/tests/_soak.py
+++ b/src/heatherpier/platform/tests/_soak.py
@@ -16,6 +16,7 @@
 )
 from heatherpier.platform.tests._leaving_faults import LeavingFaults, busy_processes
 from heatherpier.platform.tests._loss_faults import LossFaults
+from heatherpier.platform.tests._moving_routes import MovingSessions
 from heatherpier.platform.tests._peer_relays import PeerRelay
 
 READY_TIMEOUT_S = 20.0
@@ -292,6 +293,7 @@
     restores: bool = False,
     lost_answers: bool = False,
     replaces: bool = False,
+    moves: bool = False,
 ) -> tuple[Deployment, CallHistory, bool]:
     """Runs a deployment under load and injects the random faults of one seed.
 
@@ -315,6 +317,8 @@
         restores: Whether the store also comes back from older backups.
         lost_answers: Whether instances also lose answers of statements that they ran.
         replaces: Whether each proxy is then replaced, one after the other.
+        moves: Whether a route moves between two services while its sessions stay open
+            and replicas lag, beside the other faults.
 
     Returns:
         The deployment, the answers that callers got, and whether all proxies served
@@ -323,7 +327,7 @@
     folder.mkdir(parents=True, exist_ok=True)
     async with (
         busy_processes(busy),
-        Deployment(folder, proxies=proxies, program=program) as deployment,
+        Deployment(folder, proxies=proxies, program=program, moves=moves) as deployment,
     ):
         callers = Callers(deployment)
         assert await callers.wait_until_served(READY_TIMEOUT_S)
@@ -332,6 +336,9 @@
             asyncio.create_task(callers.generate_load(proxy, stop))
             for proxy in deployment.proxies
         ]
+        if moves:
+            deployment.moving = MovingSessions(deployment, rng=random.Random(seed))
+            load.append(asyncio.create_task(deployment.moving.run(stop)))
         await inject_faults(
             deployment,
             seed=seed,
--- a/src/heatherpier/platform/tests/test_soak.py
+++ b/src/heatherpier/platform/tests/test_soak.py
@@ -57,6 +57,7 @@
 """
 
 LOSS_SEEDS = (401, *range(int(FIRST) + 1, int(LAST) + 1))
+MOVE_SEEDS = (1801, *range(int(FIRST) + 1, int(LAST) + 1))
 LEAVE_SEEDS = (901, *range(int(FIRST) + 1, int(LAST) + 1))
 BUSY = int(os.environ.get("HEATHERPIER_SOAK_BUSY", "0"))
 LOST_ANSWER_SEEDS = (301, *range(int(FIRST) + 1, int(LAST) + 1))
@@ -81,6 +82,7 @@
         leaves_only: Whether the faults from outside are instances that leave.
         restores: Whether the store also comes back from older backups.
         lost_answers: Whether instances also lose answers of statements that they ran.
+        moves: Whether a route moves between two services.
     """
 
     program: str
@@ -92,6 +94,7 @@
     leaves_only: bool = False
     restores: bool = False
     lost_answers: bool = False
+    moves: bool = False
 
 
 SEEDED_FAULTS = {
@@ -167,6 +170,17 @@
         breaks=("late work",),
         leaves_only=True,
     ),
+    # A session keeps one commit, whatever service ran it.
+    "commit-without-service": SeededFault(
+        program=(
+            "import heatherpier.serving._session_commits as commits\n"
+            "def newest(self, service):\n"
+            "    return next(reversed(self._commits.values()), None)\n"
+            "commits.SessionCommits.last = newest\n"
+        ),
+        breaks=("own commits",),
+        moves=True,
+    ),
     # Tokens are given out again after a restore of the store.
     "tokens-repeat": SeededFault(
         program=(
@@ -218,6 +232,7 @@
         "tokens out of order": [] if tokens == sorted(tokens) else tokens,
         "never served": [] if served else [True],
         "late work": deployment.late_work,
+        "own commits": deployment.moving.missed() if deployment.moving else [],
     }
 
 
@@ -276,6 +291,7 @@
             leaves_only=fault.leaves_only,
             restores=fault.restores,
             lost_answers=fault.lost_answers,
+            moves=fault.moves,
         )
         broken = find_broken_promises(deployment, history, served)
         if any(broken[promise] for promise in fault.breaks):
@@ -310,3 +326,14 @@
     # Otherwise the run proves little.
     assert deployment.latest_work_s > 0.0
     check_seed(deployment, history, served)
+
+
+@pytest.mark.parametrize("seed", MOVE_SEEDS)
+async def test_sessions_see_their_commits_while_their_route_moves(tmp_path, seed):
+    # Guards against a commit that a session forgets when it commits on another service.
+    deployment, history, served = await run_seed(
+        tmp_path, seed=seed, duration_s=FAULTS_S, moves=True
+    )
+    # Otherwise the run proves little.
+    assert deployment.moving.replica_reads > MIN_WRITES
+    check_seed(deployment, history, served)
