Tests: session values and prepared statements follow a moved route

Change: two sessions with values and a prepared statement of the same name, whose route moves to another service and back twice.

Result: each statement ran with the values and the shape of its own session, without a change to the product.

--- a/src/heatherpier/serving/tests/test_session_state.py
+++ b/src/heatherpier/serving/tests/test_session_state.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from heatherpier.bench import ask
+from heatherpier.bench import SimulatedDeployment, ask
 from heatherpier.statements import (
     Access,
     Code,
@@ -95,3 +95,26 @@
     await run(session, Deallocate(name="s1"))
     reply = await run(session, Execute(name="s1", arguments=""))
     assert reply.outcome.code is Code.UNKNOWN_STATEMENT
+
+
+# Guards against session state that stays on the service that a route has left.
+async def test_values_and_prepared_statements_follow_a_moved_route(timers):
+    async with SimulatedDeployment(
+        timers=timers, services=("claims", "archive")
+    ) as deployment:
+        sessions = [deployment.open("claims-exact") for _ in range(2)]
+        for number, session in enumerate(sessions):
+            await run(session, SetValue(name="tenant", value=f"t{number}"))
+            shape = f"shape-{number}"
+            await run(session, Prepare(name="p", access=Access.READ, shape=shape))
+        for turn, service in enumerate(("claims", "archive", "claims", "archive")):
+            deployment.configure(
+                deployment.routes(), served_by={"claims-exact": service}
+            )
+            await timers.sleep(0.3)
+            for number, session in enumerate(sessions):
+                reply = await run(session, Execute(name="p", arguments=f"{turn}"))
+                assert isinstance(reply.outcome, Done)
+                primary = deployment.groups[service].primary()
+                assert primary.executed[-1].text == f"READ shape-{number} {turn}"
+                assert primary.executed[-1].values == {"tenant": f"t{number}"}
