Soak: what moving sessions miss is recorded in the deployment

Cause: read as a newcomer, the deployment held the sessions that use it, with an import for type checks only.

Change: the deployment has the missed commits and the reads on replicas, as it has late work.

--- a/src/heatherpier/platform/tests/_deployment.py
+++ b/src/heatherpier/platform/tests/_deployment.py
@@ -5,7 +5,6 @@
 import signal
 import sys
 from pathlib import Path
-from typing import TYPE_CHECKING
 
 from heatherpier.bench import free_ports
 from heatherpier.bench._row_store import MemoryRowStore
@@ -17,11 +16,9 @@
     StoreServer,
     instance_row,
 )
+from heatherpier.positions import LogPosition
 from heatherpier.timers import LoopTimers
 
-if TYPE_CHECKING:
-    from heatherpier.platform.tests._moving_routes import MovingSessions
-
 ZONES = ("north-a", "central-a", "south-a")
 SERVICE = "claims"
 # Service that the route of `MOVING_DATABASE` moves to and from.
@@ -118,7 +115,9 @@
         late_work: Times in seconds since an instance said that it leaves at which new
             work reached it, beyond `DRAIN_S`.
         latest_work_s: The latest such time of all leaving instances, late or not.
-        moving: Sessions whose route moves, or None if it does not.
+        missed_commits: For each read of a session whose route moves that lacks a commit
+            of its session: the service, the position read and that of the commit.
+        replica_reads: Number of reads of such sessions that replicas ran.
     """
 
     def __init__(
@@ -141,7 +140,8 @@
         self.lost: set[str] = set()
         self.late_work: list[float] = []
         self.latest_work_s = 0.0
-        self.moving: MovingSessions | None = None
+        self.missed_commits: list[tuple[str, LogPosition, LogPosition]] = []
+        self.replica_reads = 0
         self._folder = folder
         self._store_server = StoreServer(self.store, self.groups)
         self._instance_servers: dict[str, tuple[InstanceServer, int]] = {}
--- a/src/heatherpier/platform/tests/_moving_routes.py
+++ b/src/heatherpier/platform/tests/_moving_routes.py
@@ -40,40 +40,36 @@
     Args:
         deployment: Deployment with two services.
         rng: Draws the operations, the moves and the lags.
-
-    Attributes:
-        lacking: For each read on a log without a commit of its session: the service, the
-            position that it saw and that of the commit.
-        replica_reads: Number of reads that replicas ran.
     """
 
     def __init__(self, deployment: Deployment, *, rng: random.Random) -> None:
-        self.lacking: list[tuple[str, LogPosition, LogPosition]] = []
-        self.replica_reads = 0
         self._deployment = deployment
         self._rng = rng
         self._timers = deployment.timers
 
     async def run(self, stop: asyncio.Event) -> None:
-        """Moves the route and uses sessions until ``stop`` is set."""
+        """Moves the route and uses sessions until ``stop`` is set.
+
+        Records in the deployment which reads lack a commit of their session. A commit
+        that a promotion has rolled back does not count.
+        """
         async with asyncio.TaskGroup() as tasks:
             tasks.create_task(self._move(stop))
             for group in self._deployment.groups.values():
                 tasks.create_task(self._lag(group, stop))
             for proxy in self._deployment.proxies * SESSIONS_PER_PROXY:
                 tasks.create_task(self._use(proxy, stop))
-
-    def missed(self) -> list[tuple[str, LogPosition, LogPosition]]:
-        """Returns the reads that lack a commit which no promotion has rolled back."""
-        return [
-            item
-            for item in self.lacking
-            if item[2] in self._kept(self._deployment.groups[item[0]])
+        kept = {
+            (service, position)
+            for service, group in self._deployment.groups.items()
+            for position, _ in group.primary().log
+        }
+        self._deployment.missed_commits = [
+            (service, read, commit)
+            for service, read, commit in self._deployment.missed_commits
+            if (service, commit) in kept
         ]
 
-    def _kept(self, group: SimulatedGroup) -> set[LogPosition]:
-        return {position for position, _ in group.primary().log}
-
     async def _move(self, stop: asyncio.Event) -> None:
         for service in itertools.cycle(reversed(self._deployment.groups)):
             if stop.is_set():
@@ -134,9 +130,11 @@
             if not service or ready.position is None:
                 continue
             if text == "READ claim":
-                self.replica_reads += number != "0"
+                self._deployment.replica_reads += number != "0"
                 if service in before and ready.position < before[service]:
-                    self.lacking.append((service, ready.position, before[service]))
+                    self._deployment.missed_commits.append(
+                        (service, ready.position, before[service])
+                    )
             elif text == texts[-1] and "WRITE claim" in texts:
                 commits[service] = ready.position
 
--- a/src/heatherpier/platform/tests/_soak.py
+++ b/src/heatherpier/platform/tests/_soak.py
@@ -337,8 +337,8 @@
             for proxy in deployment.proxies
         ]
         if moves:
-            deployment.moving = MovingSessions(deployment, rng=random.Random(seed))
-            load.append(asyncio.create_task(deployment.moving.run(stop)))
+            sessions = MovingSessions(deployment, rng=random.Random(seed))
+            load.append(asyncio.create_task(sessions.run(stop)))
         await inject_faults(
             deployment,
             seed=seed,
--- a/src/heatherpier/platform/tests/test_soak.py
+++ b/src/heatherpier/platform/tests/test_soak.py
@@ -232,7 +232,7 @@
         "tokens out of order": [] if tokens == sorted(tokens) else tokens,
         "never served": [] if served else [True],
         "late work": deployment.late_work,
-        "own commits": deployment.moving.missed() if deployment.moving else [],
+        "own commits": deployment.missed_commits,
     }
 
 
@@ -335,5 +335,5 @@
         tmp_path, seed=seed, duration_s=FAULTS_S, moves=True
     )
     # Otherwise the run proves little.
-    assert deployment.moving.replica_reads > MIN_WRITES
+    assert deployment.replica_reads > MIN_WRITES
     check_seed(deployment, history, served)
